--- /dev/null
+++ b/internal/api/handlers.go
@@ -0,0 +1,202 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Errors of a Backend.
+var (
+	// ErrUnavailable means that the node cannot answer just now.
+	ErrUnavailable = errors.New("not available just now")
+	// ErrUnknownJob means that no such job was accepted.
+	ErrUnknownJob = errors.New("unknown job")
+)
+
+// NeverRunsError says why a job can never run.
+type NeverRunsError struct{ Reason string }
+
+func (e *NeverRunsError) Error() string { return "the job can never run: " + e.Reason }
+
+// NotLeaderError names the node that workers should report to, if known.
+type NotLeaderError struct{ Leader string }
+
+func (e *NotLeaderError) Error() string { return "not the leader" }
+
+// Backend is the service behind the handlers.
+type Backend interface {
+	Submit(ctx context.Context, spec *JobSpec) (st JobState, created bool, err error)
+	// Known looks a job up whose repeated submission is invalid.
+	Known(ctx context.Context, id string) (JobState, error)
+	Job(ctx context.Context, id string) (JobState, error)
+	Abort(ctx context.Context, id string) (JobState, error)
+	Report(ctx context.Context, r *Report) (ReportAnswer, error)
+	Ready() bool
+}
+
+// Times by which the senders give up, less what the answer's way takes.
+const (
+	submitWait = 2500 * time.Millisecond
+	pollWait   = 1500 * time.Millisecond
+	abortWait  = 3 * time.Second
+	reportWait = 2 * time.Second
+)
+
+// Handler serves users, workers and health checks.
+func Handler(b Backend, log *slog.Logger) http.Handler {
+	s := &server{b: b, log: log}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /api/jobs", s.submit)
+	mux.HandleFunc("GET /api/jobs/{id}", s.job)
+	mux.HandleFunc("POST /api/jobs/{id}/abort", s.abort)
+	mux.HandleFunc("POST /v1/report", s.report)
+	mux.HandleFunc("GET /ready", s.ready)
+	return mux
+}
+
+type server struct {
+	b   Backend
+	log *slog.Logger
+}
+
+func (s *server) ready(w http.ResponseWriter, _ *http.Request) {
+	if !s.b.Ready() {
+		s.fail(w, http.StatusServiceUnavailable, ErrUnavailable)
+		return
+	}
+	s.answer(w, http.StatusOK, map[string]bool{"ready": true})
+}
+
+func (s *server) submit(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
+	if err != nil {
+		s.fail(w, http.StatusBadRequest, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), submitWait)
+	defer cancel()
+	spec, id, err := ParseSubmission(body)
+	if err != nil {
+		s.refuse(ctx, w, id, http.StatusBadRequest, err)
+		return
+	}
+	st, created, err := s.b.Submit(ctx, spec)
+	var never *NeverRunsError
+	switch {
+	case errors.As(err, &never):
+		s.refuse(ctx, w, spec.ID, http.StatusUnprocessableEntity, err)
+	case err != nil:
+		s.unavailable(w, err)
+	case created:
+		s.answer(w, http.StatusCreated, st)
+	default:
+		s.answer(w, http.StatusOK, st)
+	}
+}
+
+// refuse refuses a submission for good, unless it repeats a known job: that is
+// answered with the job's state whatever else the repeat holds.
+func (s *server) refuse(ctx context.Context, w http.ResponseWriter, id string, status int, cause error) {
+	if id == "" {
+		s.fail(w, status, cause)
+		return
+	}
+	st, err := s.b.Known(ctx, id)
+	switch {
+	case errors.Is(err, ErrUnknownJob):
+		s.fail(w, status, cause)
+	case err != nil:
+		s.unavailable(w, err)
+	default:
+		s.answer(w, http.StatusOK, st)
+	}
+}
+
+func (s *server) job(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), pollWait)
+	defer cancel()
+	id := r.PathValue("id")
+	if !ValidID(id) {
+		s.fail(w, http.StatusNotFound, ErrUnknownJob)
+		return
+	}
+	st, err := s.b.Job(ctx, id)
+	s.state(w, st, err)
+}
+
+func (s *server) abort(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), abortWait)
+	defer cancel()
+	id := r.PathValue("id")
+	if !ValidID(id) {
+		s.fail(w, http.StatusNotFound, ErrUnknownJob)
+		return
+	}
+	st, err := s.b.Abort(ctx, id)
+	s.state(w, st, err)
+}
+
+func (s *server) state(w http.ResponseWriter, st JobState, err error) {
+	switch {
+	case errors.Is(err, ErrUnknownJob):
+		s.fail(w, http.StatusNotFound, err)
+	case err != nil:
+		s.unavailable(w, err)
+	default:
+		s.answer(w, http.StatusOK, st)
+	}
+}
+
+func (s *server) report(w http.ResponseWriter, r *http.Request) {
+	var rep Report
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 4*MaxBody)).Decode(&rep); err != nil || rep.Machine == "" {
+		s.fail(w, http.StatusBadRequest, errors.New("malformed report"))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), reportWait)
+	defer cancel()
+	ans, err := s.b.Report(ctx, &rep)
+	var other *NotLeaderError
+	switch {
+	case errors.As(err, &other) && other.Leader != "":
+		s.answer(w, http.StatusMisdirectedRequest, map[string]string{"Gardener": other.Leader})
+	case err != nil:
+		s.fail(w, http.StatusServiceUnavailable, err)
+	default:
+		s.answer(w, http.StatusOK, ans)
+	}
+}
+
+// retryAfter is when a user should come back to a node that could not answer.
+const retryAfter = time.Second
+
+func (s *server) unavailable(w http.ResponseWriter, err error) {
+	s.log.Debug("request not served", "err", err)
+	w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter/time.Second)))
+	s.fail(w, http.StatusServiceUnavailable, ErrUnavailable)
+}
+
+func (s *server) fail(w http.ResponseWriter, status int, err error) {
+	s.answer(w, status, map[string]string{"error": err.Error()})
+}
+
+func (s *server) answer(w http.ResponseWriter, status int, body any) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		s.log.Error("encode answer", "err", err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	h := w.Header()
+	h["Content-Type"] = []string{"application/json"}
+	h["Content-Length"] = []string{strconv.Itoa(len(raw))}
+	h["Date"] = nil
+	w.WriteHeader(status)
+	w.Write(raw)
+}
--- /dev/null
+++ b/internal/api/wire.go
@@ -0,0 +1,281 @@
+// Package api holds the wire types of the users' and workers' interfaces and
+// the handlers that serve them. The protocol's own words stay in this package
+// and in the clients of the outside services.
+package api
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"regexp"
+	"time"
+)
+
+// Phases of a job.
+const (
+	JobPending   = "pending"
+	JobRunning   = "running"
+	JobDone      = "done"
+	JobWithdrawn = "withdrawn"
+)
+
+// Phases of a task on a worker.
+const (
+	TaskPulling = "pulling"
+	TaskRunning = "running"
+	TaskSaving  = "saving"
+	TaskExited  = "exited"
+)
+
+// Causes of a task's exit.
+const (
+	CauseDone   = "done"
+	CauseHalted = "halted"
+	CauseError  = "error"
+	CauseNoRoom = "no_room"
+	CauseBusy   = "busy"
+	CauseNoSuch = "no_such"
+)
+
+// Verbs of orders.
+const (
+	VerbStart = "start"
+	VerbStop  = "stop"
+	VerbReap  = "reap"
+)
+
+// MaxTasks is the largest number of tasks of a job.
+const MaxTasks = 100_000
+
+// MaxBody is the largest body of a request.
+const MaxBody = 64 << 10
+
+// JobSpec is a job as its user submitted it.
+type JobSpec struct {
+	ID          string   `json:"NameId"`
+	Class       string   `json:"Jobclass"`
+	Team        string   `json:"Owner"`
+	Shape       string   `json:"Shape"`
+	Priority    string   `json:"Precedence"`
+	Tasks       int      `json:"Shoots"`
+	CPUs        float64  `json:"Cores"`
+	GPUs        float64  `json:"Cards"`
+	MemoryGB    float64  `json:"MemoryGb"`
+	Image       string   `json:"Rootstock"`
+	ImageGB     float64  `json:"PullGb"`
+	Types       []string `json:"Frames,omitempty"`
+	Zone        string   `json:"Bed,omitempty"`
+	OneZone     bool     `json:"SamePlace,omitempty"`
+	Spread      bool     `json:"Scatter,omitempty"`
+	Spot        bool     `json:"Windfall,omitempty"`
+	EstimateS   float64  `json:"ExpectS"`
+	CheckpointS float64  `json:"GraftS,omitempty"`
+	SaveS       float64  `json:"PressS,omitempty"`
+	DeadlineS   float64  `json:"DueS,omitempty"`
+}
+
+// Estimate is the owner's estimate of a task's run time.
+func (s *JobSpec) Estimate() time.Duration { return time.Duration(s.EstimateS * float64(time.Second)) }
+
+// Save is the time a task needs to save.
+func (s *JobSpec) Save() time.Duration { return time.Duration(s.SaveS * float64(time.Second)) }
+
+// submission has a pointer for every field whose absence must be noticed.
+type submission struct {
+	ID          *string  `json:"NameId"`
+	Class       *string  `json:"Jobclass"`
+	Team        *string  `json:"Owner"`
+	Shape       *string  `json:"Shape"`
+	Priority    *string  `json:"Precedence"`
+	Tasks       *int     `json:"Shoots"`
+	CPUs        *float64 `json:"Cores"`
+	GPUs        *float64 `json:"Cards"`
+	MemoryGB    *float64 `json:"MemoryGb"`
+	Image       *string  `json:"Rootstock"`
+	ImageGB     *float64 `json:"PullGb"`
+	Types       []string `json:"Frames"`
+	Zone        *string  `json:"Bed"`
+	OneZone     *bool    `json:"SamePlace"`
+	Spread      *bool    `json:"Scatter"`
+	Spot        *bool    `json:"Windfall"`
+	EstimateS   *float64 `json:"ExpectS"`
+	CheckpointS *float64 `json:"GraftS"`
+	SaveS       *float64 `json:"PressS"`
+	DeadlineS   *float64 `json:"DueS"`
+}
+
+var idForm = regexp.MustCompile(`^job-[0-9]{1,20}$`)
+
+// ValidID tells whether a job id has the protocol's form.
+func ValidID(id string) bool { return idForm.MatchString(id) }
+
+// ParseSubmission decodes and checks a submission. Where the body is invalid
+// but names a well-formed id, that id is returned with the error, since the
+// repeat of a known job is answered whatever else it holds.
+func ParseSubmission(body []byte) (spec *JobSpec, id string, err error) {
+	var named struct {
+		ID any `json:"NameId"`
+	}
+	if json.Unmarshal(body, &named) == nil {
+		if s, ok := named.ID.(string); ok && ValidID(s) {
+			id = s
+		}
+	}
+	var in *submission
+	if err := json.Unmarshal(body, &in); err != nil {
+		return nil, id, fmt.Errorf("not a valid job: %w", err)
+	}
+	if in == nil {
+		return nil, id, errors.New("not an object")
+	}
+	spec, err = in.spec()
+	return spec, id, err
+}
+
+func (in *submission) spec() (*JobSpec, error) {
+	for _, f := range []struct {
+		name    string
+		missing bool
+	}{
+		{"NameId", in.ID == nil}, {"Jobclass", in.Class == nil}, {"Owner", in.Team == nil},
+		{"Shape", in.Shape == nil}, {"Precedence", in.Priority == nil}, {"Shoots", in.Tasks == nil},
+		{"Cores", in.CPUs == nil}, {"Cards", in.GPUs == nil}, {"MemoryGb", in.MemoryGB == nil},
+		{"Rootstock", in.Image == nil}, {"PullGb", in.ImageGB == nil}, {"SamePlace", in.OneZone == nil},
+		{"Scatter", in.Spread == nil}, {"Windfall", in.Spot == nil}, {"ExpectS", in.EstimateS == nil},
+		{"GraftS", in.CheckpointS == nil}, {"PressS", in.SaveS == nil},
+	} {
+		if f.missing {
+			return nil, fmt.Errorf("field %s is missing", f.name)
+		}
+	}
+	s := &JobSpec{
+		ID: *in.ID, Class: *in.Class, Team: *in.Team, Shape: *in.Shape, Priority: *in.Priority,
+		Tasks: *in.Tasks, CPUs: *in.CPUs, GPUs: *in.GPUs, MemoryGB: *in.MemoryGB,
+		Image: *in.Image, ImageGB: *in.ImageGB, Types: in.Types, OneZone: *in.OneZone,
+		Spread: *in.Spread, Spot: *in.Spot, EstimateS: *in.EstimateS,
+		CheckpointS: *in.CheckpointS, SaveS: *in.SaveS,
+	}
+	if in.Zone != nil {
+		s.Zone = *in.Zone
+		if s.Zone == "" {
+			return nil, errors.New("field Bed is empty")
+		}
+	}
+	if in.DeadlineS != nil {
+		s.DeadlineS = *in.DeadlineS
+		if !(s.DeadlineS > 0) {
+			return nil, errors.New("field DueS must be above 0")
+		}
+	}
+	return s, s.check()
+}
+
+func (s *JobSpec) check() error {
+	switch {
+	case !ValidID(s.ID):
+		return errors.New("field NameId has the wrong form")
+	case s.Class == "":
+		return errors.New("field Jobclass is empty")
+	case s.Team == "":
+		return errors.New("field Owner is empty")
+	case s.Shape != "array":
+		return fmt.Errorf("field Shape: %q is not served", s.Shape)
+	case PriorityRank(s.Priority) < 0:
+		return fmt.Errorf("field Precedence: %q is unknown", s.Priority)
+	case s.Tasks < 1 || s.Tasks > MaxTasks:
+		return fmt.Errorf("field Shoots must be 1 to %d", MaxTasks)
+	case s.Image == "":
+		return errors.New("field Rootstock is empty")
+	}
+	for _, f := range []struct {
+		name string
+		v    float64
+	}{
+		{"Cores", s.CPUs}, {"Cards", s.GPUs}, {"MemoryGb", s.MemoryGB}, {"PullGb", s.ImageGB},
+		{"ExpectS", s.EstimateS}, {"GraftS", s.CheckpointS}, {"PressS", s.SaveS}, {"DueS", s.DeadlineS},
+	} {
+		// JSON has no infinities, but a sum of large amounts could make one.
+		if !(f.v >= 0) || f.v > 1e9 || math.IsInf(f.v, 0) {
+			return fmt.Errorf("field %s must be from 0 to 1e9", f.name)
+		}
+	}
+	return nil
+}
+
+// PriorityRank orders priorities, the highest first; -1 is unknown.
+func PriorityRank(p string) int {
+	switch p {
+	case "prod":
+		return 0
+	case "urgent":
+		return 1
+	case "standard":
+		return 2
+	case "low":
+		return 3
+	}
+	return -1
+}
+
+// JobState is what a user is told about a job.
+type JobState struct {
+	ID      string `json:"NameId"`
+	Phase   string `json:"Phase"`
+	Done    int    `json:"done"`
+	Running int    `json:"running"`
+}
+
+// Final tells whether the job is over.
+func (s JobState) Final() bool { return s.Phase == JobDone || s.Phase == JobWithdrawn }
+
+// Report is a worker's report.
+type Report struct {
+	Machine string       `json:"Host"`
+	Addr    string       `json:"Addr"`
+	Type    string       `json:"Frame"`
+	Zone    string       `json:"Bed"`
+	Spot    bool         `json:"Windfall"`
+	Session uint64       `json:"Season"`
+	Seq     uint64       `json:"Tally"`
+	Term    uint64       `json:"Warrant"`
+	NoticeS *float64     `json:"ReclaimS"`
+	Tasks   []TaskReport `json:"Shoots"`
+}
+
+// TaskReport is one task of a report.
+type TaskReport struct {
+	Task    string `json:"Shoot"`
+	Attempt uint64 `json:"Sprout"`
+	Phase   string `json:"Phase"`
+	Cause   string `json:"Cause"`
+	Saved   bool   `json:"Kept"`
+}
+
+// Order is one command to a worker.
+type Order struct {
+	Verb    string   `json:"Verb"`
+	Task    string   `json:"Shoot"`
+	Attempt uint64   `json:"Sprout"`
+	GraceS  *float64 `json:"GraceS,omitempty"`
+}
+
+// ReportAnswer answers a report.
+type ReportAnswer struct {
+	Term   uint64  `json:"Warrant"`
+	Orders []Order `json:"Orders"`
+}
+
+// MachineType is a type of machine that the cloud rents.
+type MachineType struct {
+	Name      string   `json:"Label"`
+	CPUs      float64  `json:"Cores"`
+	GPUs      float64  `json:"Cards"`
+	MemoryGB  float64  `json:"MemoryGb"`
+	CacheGB   float64  `json:"LocalGb"`
+	FetchGBs  float64  `json:"PullGbPerS"`
+	Price     float64  `json:"Hourly"`
+	SpotPrice float64  `json:"LowPrice"`
+	BootS     float64  `json:"StartupS"`
+	Zones     []string `json:"Beds"`
+}
--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,186 @@
+// Package cloud is the client of the cloud that rents machines. One client
+// owns the process's share of the cloud's request budget.
+package cloud
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/config"
+)
+
+// ErrNoCapacity means that no machine of the kind is to be had now.
+var ErrNoCapacity = errors.New("cloud: no capacity")
+
+// Limits of single requests.
+const (
+	MaxRent   = 50
+	MaxReturn = 100
+	maxList   = 500
+	maxAnswer = 4 << 20
+)
+
+// Rental asks for machines. A name is never used for two different requests.
+type Rental struct {
+	Name  string `json:"Hire"`
+	Type  string `json:"Frame"`
+	Zone  string `json:"Bed"`
+	Spot  bool   `json:"Windfall"`
+	Count int    `json:"Count"`
+}
+
+// Machine is a machine as the cloud lists it.
+type Machine struct {
+	Name  string  `json:"NameId"`
+	Addr  string  `json:"Addr"`
+	Type  string  `json:"Frame"`
+	Zone  string  `json:"Bed"`
+	Spot  bool    `json:"Windfall"`
+	Phase string  `json:"Phase"`
+	AgeS  float64 `json:"AgeS"`
+}
+
+// Phases of a listed machine.
+const (
+	PhaseStarting = "starting"
+	PhaseRunning  = "running"
+	PhaseFailed   = "failed"
+)
+
+// Service is the cloud as the rest of the program sees it.
+type Service interface {
+	Types(ctx context.Context) ([]api.MachineType, error)
+	Rent(ctx context.Context, r Rental) ([]string, error)
+	Return(ctx context.Context, names []string) error
+	List(ctx context.Context) ([]Machine, error)
+}
+
+// Client speaks to the cloud over HTTP.
+type Client struct {
+	base    string
+	http    *http.Client
+	limiter *rate.Limiter
+}
+
+// NewClient makes the client of a cloud.
+func NewClient(addr string, lim config.CloudLimits) *Client {
+	return &Client{
+		base: "http://" + addr,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+			MaxConnsPerHost:     4,
+			MaxIdleConnsPerHost: 2,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+		}},
+		limiter: rate.NewLimiter(rate.Limit(lim.RPS*0.7), max(1, int(lim.RPS))),
+	}
+}
+
+// Types reads the types of machines with their present prices.
+func (c *Client) Types(ctx context.Context) ([]api.MachineType, error) {
+	var body struct {
+		Types []api.MachineType `json:"Frames"`
+	}
+	if err := c.call(ctx, http.MethodGet, "/flavors", nil, &body); err != nil {
+		return nil, err
+	}
+	if len(body.Types) == 0 {
+		return nil, errors.New("cloud: no machine types")
+	}
+	return body.Types, nil
+}
+
+// Rent rents machines.
+func (c *Client) Rent(ctx context.Context, r Rental) ([]string, error) {
+	var body struct {
+		Hosts []string `json:"Hosts"`
+	}
+	err := c.call(ctx, http.MethodPost, "/machines", r, &body)
+	return body.Hosts, err
+}
+
+// Return gives machines back. When it succeeds they are gone, with all that
+// was on them.
+func (c *Client) Return(ctx context.Context, names []string) error {
+	return c.call(ctx, http.MethodPost, "/machines/return", map[string][]string{"Hosts": names}, nil)
+}
+
+// List reads the whole list of machines.
+func (c *Client) List(ctx context.Context) ([]Machine, error) {
+	var all []Machine
+	from := ""
+	for {
+		q := url.Values{"Most": {strconv.Itoa(maxList)}}
+		if from != "" {
+			q.Set("From", from)
+		}
+		var body struct {
+			Hosts []Machine `json:"Hosts"`
+			More  bool      `json:"Truncated"`
+		}
+		if err := c.call(ctx, http.MethodGet, "/machines?"+q.Encode(), nil, &body); err != nil {
+			return nil, err
+		}
+		all = append(all, body.Hosts...)
+		if !body.More || len(body.Hosts) == 0 {
+			return all, nil
+		}
+		from = body.Hosts[len(body.Hosts)-1].Name
+	}
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	if err := c.limiter.Wait(ctx); err != nil {
+		return fmt.Errorf("cloud: request budget: %w", err)
+	}
+	var body io.Reader
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return fmt.Errorf("cloud: encode: %w", err)
+		}
+		body = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return fmt.Errorf("cloud: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("cloud: %w", err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return fmt.Errorf("cloud: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		var e struct {
+			Error string `json:"error"`
+		}
+		if json.Unmarshal(raw, &e) == nil && e.Error == "no capacity" {
+			return ErrNoCapacity
+		}
+		return fmt.Errorf("cloud: status %d %s", resp.StatusCode, e.Error)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(raw, out); err != nil {
+		return fmt.Errorf("cloud: malformed answer: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,221 @@
+// Package config reads and checks the settings file that the platform hands
+// to every controller.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"strings"
+	"time"
+)
+
+// Settings is the platform's settings file.
+type Settings struct {
+	Node       string   `json:"node"`
+	Zone       string   `json:"site"`
+	APIAddr    string   `json:"api_addr"`
+	PeerListen string   `json:"peer_listen"`
+	Peers      []Peer   `json:"peers"`
+	Outside    Outside  `json:"outside"`
+	Site       SiteInfo `json:"settings"`
+}
+
+// Peer is another controller.
+type Peer struct {
+	Node string `json:"node"`
+	Zone string `json:"site"`
+	Addr string `json:"addr"`
+}
+
+// Outside holds the addresses of the services that the region provides.
+type Outside struct {
+	Cloud string `json:"cloud"`
+	State string `json:"state"`
+}
+
+// SiteInfo describes the deployment.
+type SiteInfo struct {
+	Nodes      int         `json:"nodes"`
+	Zones      []string    `json:"zones"`
+	Teams      []Team      `json:"teams"`
+	Objectives []Objective `json:"objectives"`
+	Workers    Workers     `json:"workers"`
+	State      StateLimits `json:"state"`
+	Cloud      CloudLimits `json:"cloud"`
+	Limits     Limits      `json:"limits"`
+	ClockOffMs float64     `json:"clock_off_ms"`
+}
+
+// Team is a share of the cluster: a guarantee and a limit.
+type Team struct {
+	Name    string  `json:"name"`
+	CPUs    float64 `json:"cpus"`
+	CPUsMax float64 `json:"cpus_max"`
+	GPUs    float64 `json:"gpus"`
+	GPUsMax float64 `json:"gpus_max"`
+}
+
+// Objective is one of the users' aims.
+type Objective struct {
+	Kind     string  `json:"kind"`
+	Class    string  `json:"class"`
+	Share    float64 `json:"share"`
+	Times    float64 `json:"times"`
+	WithinS  float64 `json:"within_s"`
+	WithinMs float64 `json:"within_ms"`
+}
+
+// Workers holds the workers' intervals.
+type Workers struct {
+	ReportS float64 `json:"report_s"`
+	LeaseS  float64 `json:"lease_s"`
+	CancelS float64 `json:"cancel_s"`
+}
+
+// StateLimits bounds the use of the state service.
+type StateLimits struct {
+	RPS      float64 `json:"rps"`
+	WriteRPS float64 `json:"write_rps"`
+	ValueKB  float64 `json:"value_kb"`
+	TxnOps   int     `json:"txn_ops"`
+}
+
+// CloudLimits bounds the use of the cloud.
+type CloudLimits struct {
+	RPS      float64 `json:"rps"`
+	ListLagS float64 `json:"list_lag_s"`
+}
+
+// Limits bounds the process itself.
+type Limits struct {
+	Cores   float64 `json:"cores"`
+	RAMMB   float64 `json:"ram_mb"`
+	FDLimit int     `json:"fd_limit"`
+}
+
+// Seconds turns a number of seconds into a duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Report is the interval at which workers report.
+func (w Workers) Report() time.Duration { return Seconds(w.ReportS) }
+
+// Lease is how long a worker keeps its tasks without an answer.
+func (w Workers) Lease() time.Duration { return Seconds(w.LeaseS) }
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s, err := Parse(raw)
+	if err != nil {
+		return nil, fmt.Errorf("settings %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse checks the contents of a settings file. Unknown fields are ignored.
+func Parse(raw []byte) (*Settings, error) {
+	var s Settings
+	if err := json.Unmarshal(raw, &s); err != nil {
+		var typ *json.UnmarshalTypeError
+		if errors.As(err, &typ) {
+			return nil, fmt.Errorf("field %s: expected %s, found %s", typ.Field, typ.Type, typ.Value)
+		}
+		return nil, fmt.Errorf("not valid JSON: %w", err)
+	}
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+func (s *Settings) check() error {
+	if s.Node == "" {
+		return errors.New("field node: missing")
+	}
+	for _, a := range []struct{ field, addr string }{
+		{"api_addr", s.APIAddr}, {"peer_listen", s.PeerListen},
+		{"outside.cloud", s.Outside.Cloud}, {"outside.state", s.Outside.State},
+	} {
+		if err := checkAddr(a.addr); err != nil {
+			return fmt.Errorf("field %s: %w", a.field, err)
+		}
+	}
+	seen := map[string]bool{s.Node: true}
+	for i, p := range s.Peers {
+		if p.Node == "" || seen[p.Node] {
+			return fmt.Errorf("field peers[%d].node: %q is empty or named twice", i, p.Node)
+		}
+		seen[p.Node] = true
+		if err := checkAddr(p.Addr); err != nil {
+			return fmt.Errorf("field peers[%d].addr: %w", i, err)
+		}
+	}
+	return s.Site.check()
+}
+
+func (s *SiteInfo) check() error {
+	if len(s.Teams) == 0 {
+		return errors.New("field settings.teams: no team")
+	}
+	names := map[string]bool{}
+	for i, t := range s.Teams {
+		at := fmt.Sprintf("field settings.teams[%d]", i)
+		if t.Name == "" || names[t.Name] {
+			return fmt.Errorf("%s.name: %q is empty or named twice", at, t.Name)
+		}
+		names[t.Name] = true
+		if !notNegative(t.CPUs) || !notNegative(t.CPUsMax) || !notNegative(t.GPUs) || !notNegative(t.GPUsMax) {
+			return fmt.Errorf("%s: amounts must be finite and not negative", at)
+		}
+		if t.CPUs > t.CPUsMax || t.GPUs > t.GPUsMax {
+			return fmt.Errorf("%s: the guarantee is above the limit", at)
+		}
+	}
+	for _, p := range []struct {
+		field string
+		v     float64
+	}{
+		{"workers.report_s", s.Workers.ReportS}, {"workers.lease_s", s.Workers.LeaseS},
+		{"workers.cancel_s", s.Workers.CancelS}, {"state.rps", s.State.RPS},
+		{"state.write_rps", s.State.WriteRPS}, {"state.value_kb", s.State.ValueKB},
+		{"state.txn_ops", float64(s.State.TxnOps)}, {"cloud.rps", s.Cloud.RPS},
+		{"limits.ram_mb", s.Limits.RAMMB}, {"limits.fd_limit", float64(s.Limits.FDLimit)},
+	} {
+		if !(p.v > 0) || math.IsInf(p.v, 0) {
+			return fmt.Errorf("field settings.%s: must be above 0, found %v", p.field, p.v)
+		}
+	}
+	if s.State.TxnOps < 5 {
+		return fmt.Errorf("field settings.state.txn_ops: at least 5 are needed, found %d", s.State.TxnOps)
+	}
+	if s.Workers.LeaseS <= s.Workers.ReportS {
+		return fmt.Errorf("field settings.workers.lease_s: %v is not longer than report_s %v", s.Workers.LeaseS, s.Workers.ReportS)
+	}
+	if s.Cloud.ListLagS < 0 || s.ClockOffMs < 0 {
+		return errors.New("field settings: cloud.list_lag_s and clock_off_ms must not be negative")
+	}
+	return nil
+}
+
+func notNegative(v float64) bool { return v >= 0 && !math.IsInf(v, 0) }
+
+func checkAddr(addr string) error {
+	if addr == "" {
+		return errors.New("missing")
+	}
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return fmt.Errorf("%q is not an address: %w", addr, err)
+	}
+	if host == "" || port == "" || strings.ContainsAny(addr, " \t") {
+		return fmt.Errorf("%q is not an address of the form host:port", addr)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,353 @@
+// Package controller holds the goroutine that owns a node's state. Everything
+// else speaks to it by messages: the handlers of users and workers, the
+// election, and the goroutines that wait for the outside services.
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/cloud"
+	"example.org/ivytrestle/internal/config"
+	"example.org/ivytrestle/internal/election"
+	"example.org/ivytrestle/internal/policy"
+	"example.org/ivytrestle/internal/store"
+)
+
+// PeerAsker asks another node about a job.
+type PeerAsker interface {
+	// Job returns ErrUnavailable when the node cannot answer.
+	Job(ctx context.Context, node, id string) (api.JobState, error)
+}
+
+// Config is what a controller is made of.
+type Config struct {
+	Settings *config.Settings
+	Policy   *policy.Policy
+	Store    store.Service
+	Cloud    cloud.Service
+	Peers    PeerAsker
+	Log      *slog.Logger
+}
+
+// Controller is one node's state and its owner.
+type Controller struct {
+	Config
+	records store.Records
+	mail    chan message
+	depose  chan uint64
+	types   typesCell
+
+	// The rest belongs to the owner goroutine.
+	leader string
+	reign  *reign
+	final  *lru.Cache[string, api.JobState]
+}
+
+// message is what the owner goroutine is sent.
+type message interface{ apply(c *Controller) }
+
+// finalsKept is how many final states a node keeps in memory.
+const finalsKept = 8192
+
+// New makes a controller.
+func New(cfg Config) *Controller {
+	final, err := lru.New[string, api.JobState](finalsKept)
+	if err != nil {
+		panic(err) // only for a size that is not positive
+	}
+	return &Controller{
+		Config: cfg, records: store.Records{Store: cfg.Store},
+		mail: make(chan message, 256), depose: make(chan uint64, 4), final: final,
+	}
+}
+
+const tickInterval = 100 * time.Millisecond
+
+// Run owns the state until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	go c.refreshTypes(ctx)
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			c.endReign()
+			return
+		case m := <-c.mail:
+			m.apply(c)
+		case <-tick.C:
+			if c.reign != nil {
+				c.reign.tick(time.Now())
+			}
+		}
+	}
+}
+
+// send hands a message to the owner.
+func (c *Controller) send(ctx context.Context, m message) error {
+	select {
+	case c.mail <- m:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Depose is where the election hears that a term is over.
+func (c *Controller) Depose() <-chan uint64 { return c.depose }
+
+func (c *Controller) endReign() {
+	if c.reign != nil {
+		c.reign.cancel()
+		c.reign = nil
+	}
+}
+
+// The election's calls become messages.
+
+type leaderMsg struct{ node string }
+
+func (m leaderMsg) apply(c *Controller) {
+	if c.leader != m.node {
+		c.Log.Info("leader", "node", m.node)
+	}
+	c.leader = m.node
+}
+
+type wonMsg struct {
+	term  election.Term
+	until time.Time
+}
+
+func (m wonMsg) apply(c *Controller) {
+	c.endReign()
+	c.reign = newReign(c, m.term, m.until)
+}
+
+type extendedMsg wonMsg
+
+func (m extendedMsg) apply(c *Controller) {
+	if r := c.reign; r != nil && r.term == m.term && m.until.After(r.until) {
+		r.until = m.until
+	}
+}
+
+type lostMsg struct{ term election.Term }
+
+func (m lostMsg) apply(c *Controller) {
+	if r := c.reign; r != nil && r.term == m.term {
+		c.endReign()
+	}
+	c.leader = ""
+}
+
+// Leader implements election.Observer.
+func (c *Controller) Leader(node string) { c.mail <- leaderMsg{node} }
+
+// Won implements election.Observer.
+func (c *Controller) Won(t election.Term, until time.Time) { c.mail <- wonMsg{t, until} }
+
+// Extended implements election.Observer.
+func (c *Controller) Extended(t election.Term, until time.Time) { c.mail <- extendedMsg{t, until} }
+
+// Lost implements election.Observer.
+func (c *Controller) Lost(t election.Term) { c.mail <- lostMsg{t} }
+
+// valid tells whether this node may act as leader at this moment.
+func (c *Controller) valid() bool {
+	return c.reign != nil && time.Now().Before(c.reign.until)
+}
+
+// Ready implements api.Backend.
+func (c *Controller) Ready() bool { return c.types.load() != nil }
+
+// Submit implements api.Backend.
+func (c *Controller) Submit(ctx context.Context, spec *api.JobSpec) (api.JobState, bool, error) {
+	types := c.types.load()
+	if types == nil {
+		return api.JobState{}, false, api.ErrUnavailable
+	}
+	if reason := neverRuns(spec, c.Settings.Site.Teams, types); reason != "" {
+		return api.JobState{}, false, &api.NeverRunsError{Reason: reason}
+	}
+	return c.records.Accept(ctx, spec, time.Now())
+}
+
+// neverRuns says why a job can never run, or "".
+func neverRuns(s *api.JobSpec, teams []config.Team, types map[string]api.MachineType) string {
+	for _, t := range teams {
+		if t.Name != s.Team {
+			continue
+		}
+		if s.CPUs > t.CPUsMax+slack || (s.GPUs > 0 && s.GPUs > t.GPUsMax+slack) {
+			return "a task needs more than the team's limit"
+		}
+		for _, mt := range types {
+			if typeAllowed(s, mt.Name) && zoneAllowed(s, mt.Zones) &&
+				s.CPUs <= mt.CPUs+slack && s.GPUs <= mt.GPUs+slack && s.MemoryGB <= mt.MemoryGB+slack {
+				return ""
+			}
+		}
+		return "a task fits no allowed machine type"
+	}
+	return "unknown team"
+}
+
+func typeAllowed(s *api.JobSpec, typ string) bool {
+	if s.Types == nil {
+		return true
+	}
+	for _, t := range s.Types {
+		if t == typ {
+			return true
+		}
+	}
+	return false
+}
+
+func zoneAllowed(s *api.JobSpec, zones []string) bool {
+	if s.Zone == "" {
+		return len(zones) > 0
+	}
+	for _, z := range zones {
+		if z == s.Zone {
+			return true
+		}
+	}
+	return false
+}
+
+// Known implements api.Backend.
+func (c *Controller) Known(ctx context.Context, id string) (api.JobState, error) {
+	return c.lookup(ctx, id)
+}
+
+// Abort implements api.Backend.
+func (c *Controller) Abort(ctx context.Context, id string) (api.JobState, error) {
+	st, found, err := c.records.Cancel(ctx, id)
+	if err != nil {
+		return st, err
+	}
+	if !found {
+		return st, api.ErrUnknownJob
+	}
+	return st, c.send(ctx, finalMsg{st})
+}
+
+func (c *Controller) lookup(ctx context.Context, id string) (api.JobState, error) {
+	st, found, err := c.records.Lookup(ctx, id)
+	if err != nil {
+		return st, err
+	}
+	if !found {
+		return st, api.ErrUnknownJob
+	}
+	if st.Final() {
+		return st, c.send(ctx, finalMsg{st})
+	}
+	return st, nil
+}
+
+// finalMsg tells the owner of a final state.
+type finalMsg struct{ st api.JobState }
+
+func (m finalMsg) apply(c *Controller) { c.final.Add(m.st.ID, m.st) }
+
+// Report implements api.Backend.
+func (c *Controller) Report(ctx context.Context, rep *api.Report) (api.ReportAnswer, error) {
+	m := reportMsg{rep: rep, reply: make(chan reportReply, 1)}
+	if err := c.send(ctx, m); err != nil {
+		return api.ReportAnswer{}, err
+	}
+	select {
+	case r := <-m.reply:
+		return r.ans, r.err
+	case <-ctx.Done():
+		return api.ReportAnswer{}, ctx.Err()
+	}
+}
+
+type reportReply struct {
+	ans api.ReportAnswer
+	err error
+}
+
+type reportMsg struct {
+	rep   *api.Report
+	reply chan reportReply
+}
+
+func (m reportMsg) apply(c *Controller) {
+	if !c.valid() {
+		leader := c.leader
+		if leader == c.Settings.Node {
+			leader = ""
+		}
+		m.reply <- reportReply{err: &api.NotLeaderError{Leader: leader}}
+		return
+	}
+	ans, err := c.reign.report(m.rep, time.Now())
+	m.reply <- reportReply{ans, err}
+}
+
+// typesLife is how long the machine types are used before they are read again.
+const typesLife = time.Minute
+
+// refreshTypes keeps the machine types known: from the cloud, or while that
+// does not answer from what some node stored.
+func (c *Controller) refreshTypes(ctx context.Context) {
+	for ctx.Err() == nil {
+		cctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+		types, err := c.Cloud.Types(cctx)
+		cancel()
+		wait := typesLife
+		if err != nil {
+			c.Log.Debug("machine types not read", "err", err)
+			wait = time.Second
+			if c.types.load() == nil {
+				c.storedTypes(ctx)
+			}
+		} else {
+			first := c.types.load() == nil
+			c.types.set(types)
+			if first {
+				c.storeTypes(ctx, types)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (c *Controller) storedTypes(ctx context.Context) {
+	cctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	e, err := c.Store.Get(cctx, store.TypesKey)
+	if err != nil || e.Mark == 0 {
+		return
+	}
+	var types []api.MachineType
+	if err := json.Unmarshal(e.Value, &types); err != nil {
+		c.Log.Warn("stored machine types", "err", err)
+		return
+	}
+	c.types.set(types)
+}
+
+func (c *Controller) storeTypes(ctx context.Context, types []api.MachineType) {
+	cctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	txn := store.Txn{Ops: []store.Op{{Put: store.TypesKey, Value: types}}}
+	if _, err := c.Store.Txn(cctx, txn); err != nil && !errors.Is(err, context.Canceled) {
+		c.Log.Debug("machine types not stored", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/controller/model.go
@@ -0,0 +1,182 @@
+package controller
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/bits-and-blooms/bitset"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/flight"
+	"example.org/ivytrestle/internal/queue"
+)
+
+// job is an active job in the leader's memory.
+type job struct {
+	spec     api.JobSpec
+	mark     uint64
+	accepted time.Time
+	due      time.Time
+	rank     int
+	team     *queue.Team[*job]
+
+	flight *flight.Flight
+	// live holds for each task that may be on a machine its current attempt.
+	live map[int]*attempt
+	// done is what has completed; durable is the part of it on record.
+	done      *bitset.BitSet
+	doneCount int
+	durable   *bitset.BitSet
+	// chunks are the progress records written, by their first task.
+	chunks map[int]bool
+	dirty  bool
+
+	zones     map[string]int
+	restarted map[int]bool
+	barred    map[int]string
+	// errors counts failures by machine; heldUntil keeps a job that fails
+	// everywhere from eating the machines.
+	errors    map[string]int
+	faulty    int
+	heldUntil time.Time
+
+	finishing bool
+	over      bool
+}
+
+// Rank, Latest and ID make a job an item of its team's queue.
+func (j *job) Rank() int         { return j.rank }
+func (j *job) Latest() time.Time { return j.due.Add(-j.spec.Estimate()) }
+func (j *job) ID() string        { return j.spec.ID }
+
+func (j *job) taskRef(task int) string { return j.spec.ID + "/" + strconv.Itoa(task) }
+
+// splitRef is the reverse of taskRef.
+func splitRef(ref string) (id string, task int, ok bool) {
+	id, num, ok := strings.Cut(ref, "/")
+	if !ok {
+		return "", 0, false
+	}
+	task, err := strconv.Atoi(num)
+	return id, task, err == nil && task >= 0
+}
+
+func (j *job) state() api.JobState {
+	st := api.JobState{ID: j.spec.ID, Phase: api.JobPending, Done: j.doneCount}
+	for _, a := range j.live {
+		if a.phase == api.TaskRunning || a.phase == api.TaskSaving {
+			st.Running++
+		}
+	}
+	if st.Running > 0 || st.Done > 0 {
+		st.Phase = api.JobRunning
+	}
+	return st
+}
+
+// attemptKey names an attempt on its machine.
+type attemptKey struct {
+	ref string
+	id  uint64
+}
+
+// attempt is one try at a task on one machine.
+type attempt struct {
+	key     attemptKey
+	machine *machine
+	// job is nil for an attempt whose job is not active: its team is not
+	// known, so the whole machine counts as in use.
+	job  *job
+	task int
+	// phase is the worker's, or "" while only the order has been sent.
+	phase string
+	// sentSeq is the report that the start order answered. A newer report
+	// without the attempt shows that the order was never carried out.
+	sentSeq   uint64
+	sentAt    time.Time
+	runningAt time.Time
+	stop      *stopOrder
+	exited    bool
+	// noted is set once what the exit means has been taken in.
+	noted bool
+}
+
+type stopOrder struct {
+	grace time.Duration
+	since time.Time
+}
+
+type rosterState int
+
+const (
+	rosterNone rosterState = iota
+	rosterWriting
+	rosterDurable
+)
+
+// machine is a rented machine that has reported or is on the roster.
+type machine struct {
+	name, addr string
+	typ        string
+	zone       string
+	spot       bool
+	cpus, gpus float64
+	memory     float64
+
+	usedCPUs, usedGPUs, usedMemory float64
+
+	session, seq uint64
+	roster       rosterState
+	// heard is set once the machine reports with this term: from then on it
+	// carries out no earlier leader's orders.
+	heard    bool
+	lastSeen time.Time
+	since    time.Time
+	idle     time.Time
+	reclaim  time.Time
+
+	attempts map[attemptKey]*attempt
+	foreign  int
+	images   map[string]time.Time
+
+	leaving   bool
+	returning bool
+	why       string
+
+	errorJobs  map[string]int
+	pauseUntil time.Time
+	pause      time.Duration
+	gone       bool
+}
+
+func (m *machine) freeCPUs() float64 { return m.cpus - m.usedCPUs }
+
+const slack = 1e-6
+
+func (m *machine) fits(s *api.JobSpec) bool {
+	return m.usedCPUs+s.CPUs <= m.cpus+slack && m.usedGPUs+s.GPUs <= m.gpus+slack &&
+		m.usedMemory+s.MemoryGB <= m.memory+slack
+}
+
+// open tells whether the machine may be given tasks.
+func (m *machine) open(now time.Time) bool {
+	return m.heard && m.roster == rosterDurable && !m.leaving && !m.gone && m.cpus > 0 &&
+		m.reclaim.IsZero() && m.foreign == 0 && !now.Before(m.pauseUntil)
+}
+
+// charge adds an attempt's resources to its machine, team and job, or takes
+// them off again with sign -1.
+func (a *attempt) charge(sign float64) {
+	if a.job == nil {
+		a.machine.foreign += int(sign)
+		return
+	}
+	s, m, t := &a.job.spec, a.machine, a.job.team
+	m.usedCPUs += sign * s.CPUs
+	m.usedGPUs += sign * s.GPUs
+	m.usedMemory += sign * s.MemoryGB
+	t.UsedCPUs += sign * s.CPUs
+	t.UsedGPUs += sign * s.GPUs
+	a.job.zones[m.zone] += int(sign)
+}
--- /dev/null
+++ b/internal/controller/poll.go
@@ -0,0 +1,193 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/store"
+)
+
+// Job implements api.Backend.
+func (c *Controller) Job(ctx context.Context, id string) (api.JobState, error) {
+	r, err := c.poll(ctx, id)
+	if err != nil {
+		return api.JobState{}, err
+	}
+	switch {
+	case r.err != nil || r.answered:
+		return r.st, r.err
+	case r.leader != "" && c.Peers != nil:
+		pctx, cancel := context.WithTimeout(ctx, 700*time.Millisecond)
+		st, err := c.Peers.Job(pctx, r.leader, id)
+		cancel()
+		if err == nil {
+			if st.Final() {
+				return st, c.send(ctx, finalMsg{st})
+			}
+			return st, nil
+		}
+		if errors.Is(err, api.ErrUnknownJob) {
+			return st, err
+		}
+	}
+	return c.lookup(ctx, id)
+}
+
+// PeerJob answers another node's question. Only the leader does.
+func (c *Controller) PeerJob(ctx context.Context, id string) (api.JobState, error) {
+	r, err := c.poll(ctx, id)
+	switch {
+	case err != nil:
+		return api.JobState{}, err
+	case r.err != nil || r.answered:
+		return r.st, r.err
+	case r.leader != "":
+		return api.JobState{}, api.ErrUnavailable
+	}
+	return c.lookup(ctx, id)
+}
+
+// poll asks the owner about a job.
+func (c *Controller) poll(ctx context.Context, id string) (pollReply, error) {
+	m := &pollMsg{id: id, reply: make(chan pollReply, 1)}
+	m.deadline, _ = ctx.Deadline()
+	if err := c.send(ctx, m); err != nil {
+		return pollReply{}, err
+	}
+	select {
+	case r := <-m.reply:
+		return r, nil
+	case <-ctx.Done():
+		return pollReply{}, ctx.Err()
+	}
+}
+
+// pollReply either answers a poll, or names the leader to ask; with neither,
+// the store must be read.
+type pollReply struct {
+	st       api.JobState
+	answered bool
+	leader   string
+	err      error
+}
+
+type pollMsg struct {
+	id       string
+	deadline time.Time
+	reply    chan pollReply
+}
+
+func (m *pollMsg) apply(c *Controller) {
+	if st, ok := c.final.Get(m.id); ok {
+		m.reply <- pollReply{st: st, answered: true}
+		return
+	}
+	if c.reign == nil {
+		leader := c.leader
+		if leader == c.Settings.Node {
+			leader = ""
+		}
+		m.reply <- pollReply{leader: leader}
+		return
+	}
+	if !c.valid() || !c.reign.loaded || c.reign.jobs[m.id] == nil {
+		m.reply <- pollReply{}
+		return
+	}
+	c.reign.confirm.add(m)
+}
+
+// confirmer makes sure that the leader's memory is as new as the store before
+// it is told to users. Any node cancels jobs by its own transaction, so the
+// leader may not have heard yet; and a leader that was held up may have been
+// followed by another. One comparison of the two keys' versions serves all
+// polls that came before it was sent.
+type confirmer struct {
+	r       *reign
+	waiting []*pollMsg
+	busy    bool
+}
+
+func (f *confirmer) add(m *pollMsg) {
+	f.waiting = append(f.waiting, m)
+	f.start()
+}
+
+func (f *confirmer) start() {
+	if f.busy || len(f.waiting) == 0 {
+		return
+	}
+	f.busy = true
+	r, batch := f.r, f.waiting
+	f.waiting = nil
+	txn := store.Txn{Guards: []store.Guard{r.termGuard(), {Key: store.CancelKey, Mark: r.cancelMark}}}
+	go func() {
+		ctx, cancel := context.WithTimeout(r.ctx, 700*time.Millisecond)
+		defer cancel()
+		res, err := r.c.Store.Txn(ctx, txn)
+		r.post(confirmedMsg{r, batch, res, err})
+	}()
+}
+
+// confirmPause keeps polls from taking more than a few requests a second.
+const confirmPause = 60 * time.Millisecond
+
+type confirmedMsg struct {
+	r     *reign
+	batch []*pollMsg
+	res   store.Result
+	err   error
+}
+
+func (m confirmedMsg) apply(c *Controller) {
+	f := &m.r.confirm
+	switch {
+	case c.reign != m.r || m.err != nil:
+		for _, p := range m.batch {
+			p.reply <- pollReply{err: api.ErrUnavailable}
+		}
+	case m.res.OK:
+		for _, p := range m.batch {
+			p.reply <- m.r.answer(p.id)
+		}
+	case m.r.superseded(m.res):
+		for _, p := range m.batch {
+			p.reply <- pollReply{err: api.ErrUnavailable}
+		}
+	default:
+		// A cancellation is on its way through the watch.
+		now := time.Now()
+		for _, p := range m.batch {
+			if now.Before(p.deadline.Add(-200 * time.Millisecond)) {
+				f.waiting = append(f.waiting, p)
+			} else {
+				p.reply <- pollReply{err: api.ErrUnavailable}
+			}
+		}
+	}
+	if c.reign == m.r {
+		time.AfterFunc(confirmPause, func() { m.r.post(confirmNextMsg{m.r}) })
+	}
+}
+
+type confirmNextMsg struct{ r *reign }
+
+func (m confirmNextMsg) apply(c *Controller) {
+	if c.reign == m.r {
+		m.r.confirm.busy = false
+		m.r.confirm.start()
+	}
+}
+
+// answer is what the leader's memory says of a job.
+func (r *reign) answer(id string) pollReply {
+	if st, ok := r.c.final.Get(id); ok {
+		return pollReply{st: st, answered: true}
+	}
+	if j := r.jobs[id]; j != nil && !j.finishing {
+		return pollReply{st: j.state(), answered: true}
+	}
+	return pollReply{} // the store knows
+}
--- /dev/null
+++ b/internal/controller/recorder.go
@@ -0,0 +1,350 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math"
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/store"
+)
+
+// recorder brings the leader's changes to the store: batched, one transaction
+// at a time, within a part of the write rate that leaves submissions theirs.
+type recorder struct {
+	r        *reign
+	limiter  *rate.Limiter
+	maxOps   int
+	maxBytes int
+	perChunk int
+
+	finishing []*job
+	enrolling []*machine
+	drops     []string
+	dirty     []*job
+	busy      bool
+	waitUntil time.Time
+	// lastProgress keeps progress records behind everything else.
+	nextProgress time.Time
+}
+
+// leaderShare is the part of the service's write rate for the leader's
+// records.
+const leaderShare = 0.4
+
+const progressInterval = 500 * time.Millisecond
+
+func (w *recorder) init(r *reign) {
+	lim := r.c.Settings.Site.State
+	w.r = r
+	w.maxOps = lim.TxnOps
+	w.limiter = rate.NewLimiter(rate.Limit(lim.WriteRPS*leaderShare), lim.TxnOps)
+	w.maxBytes = 48 << 10
+	// The bit set is written as base64; half the value's size leaves room.
+	w.perChunk = int(lim.ValueKB*1024/2) * 8
+}
+
+func (w *recorder) finish(j *job) {
+	if !j.finishing {
+		j.finishing = true
+		w.finishing = append(w.finishing, j)
+	}
+}
+
+func (w *recorder) progress(j *job) {
+	if !j.dirty {
+		j.dirty = true
+		w.dirty = append(w.dirty, j)
+	}
+}
+
+func (w *recorder) enroll(m *machine) { w.enrolling = append(w.enrolling, m) }
+
+func (w *recorder) drop(key string) { w.drops = append(w.drops, key) }
+
+// batch is one transaction with what it stands for.
+type batch struct {
+	txn      store.Txn
+	bytes    int
+	finished []*job
+	enrolled []*machine
+	drops    []string
+	// progressed are the jobs whose done tasks the transaction records.
+	progressed []progressed
+}
+
+type progressed struct {
+	j     *job
+	first int
+	words []byte
+}
+
+// flush starts the next transaction if there is anything to write.
+func (w *recorder) flush(now time.Time) {
+	if w.busy || now.Before(w.waitUntil) {
+		return
+	}
+	b := w.next(now)
+	if len(b.txn.Ops) == 0 {
+		return
+	}
+	w.busy = true
+	r := w.r
+	go func() {
+		ctx, cancel := context.WithTimeout(r.ctx, 2*time.Second)
+		defer cancel()
+		res, err := r.c.Store.Txn(ctx, b.txn)
+		r.post(recordedMsg{r, b, res, err})
+	}()
+}
+
+// next takes the next batch, the most urgent first, within what the write rate
+// allows at this moment.
+func (w *recorder) next(now time.Time) *batch {
+	b := &batch{txn: store.Txn{Guards: []store.Guard{w.r.termGuard()}}}
+	allowed := min(w.maxOps, int(w.limiter.TokensAt(now)))
+	for len(w.finishing) > 0 && b.bytes < w.maxBytes {
+		j := w.finishing[0]
+		if len(b.txn.Ops)+2 > allowed {
+			break
+		}
+		w.finishing = w.finishing[1:]
+		active := store.ActivePrefix + j.spec.ID
+		b.txn.Guards = append(b.txn.Guards, store.Guard{Key: active, Mark: j.mark})
+		b.put(store.FinalPrefix+j.spec.ID, store.FinalRecord{Phase: api.JobDone, Tasks: j.spec.Tasks})
+		b.delete(active)
+		b.finished = append(b.finished, j)
+	}
+	for len(w.enrolling) > 0 && len(b.txn.Ops) < allowed {
+		m := w.enrolling[0]
+		w.enrolling = w.enrolling[1:]
+		if m.gone {
+			continue
+		}
+		b.put(store.MachinePrefix+m.name, store.MachineRecord{Type: m.typ, Zone: m.zone, Spot: m.spot,
+			CPUs: m.cpus, GPUs: m.gpus, MemoryGB: m.memory})
+		b.enrolled = append(b.enrolled, m)
+	}
+	for len(w.drops) > 0 && len(b.txn.Ops) < allowed {
+		b.delete(w.drops[0])
+		b.drops = append(b.drops, w.drops[0])
+		w.drops = w.drops[1:]
+	}
+	if !now.Before(w.nextProgress) {
+		w.nextProgress = now.Add(progressInterval)
+		w.addProgress(b, allowed/2)
+	}
+	w.limiter.AllowN(now, len(b.txn.Ops))
+	return b
+}
+
+// addProgress adds the done tasks of changed jobs.
+func (w *recorder) addProgress(b *batch, allowed int) {
+	for len(w.dirty) > 0 && len(b.txn.Ops) < allowed && b.bytes < w.maxBytes {
+		j := w.dirty[0]
+		if !j.dirty || j.finishing || j.over {
+			w.dirty = w.dirty[1:]
+			j.dirty = false
+			continue
+		}
+		first, ok := j.unrecorded(w.perChunk)
+		if !ok {
+			j.dirty = false
+			w.dirty = w.dirty[1:]
+			continue
+		}
+		words := j.doneBytes(first, w.perChunk)
+		b.put(store.ProgressKey(j.spec.ID, first), store.ProgressRecord{Done: words})
+		// The record must not outlive its job: once that is over, another
+		// node has dropped the key guarded on here.
+		b.txn.Guards = append(b.txn.Guards, store.Guard{Key: store.ActivePrefix + j.spec.ID, Mark: j.mark})
+		j.chunks[first] = true
+		b.progressed = append(b.progressed, progressed{j, first, words})
+		// One record of a job at a time: the next is looked for when this
+		// one is on record.
+		j.dirty = false
+		w.dirty = w.dirty[1:]
+	}
+}
+
+// unrecorded finds the first part of a job with done tasks not on record.
+func (j *job) unrecorded(per int) (first int, ok bool) {
+	missing := j.done.Difference(j.durable)
+	t, ok := missing.NextSet(0)
+	if !ok {
+		return 0, false
+	}
+	return int(t) / per * per, true
+}
+
+func (j *job) doneBytes(first, per int) []byte {
+	n := min(per, j.spec.Tasks-first)
+	words := make([]byte, (n+7)/8)
+	for i, ok := j.done.NextSet(uint(first)); ok && i < uint(first+n); i, ok = j.done.NextSet(i + 1) {
+		at := int(i) - first
+		words[at/8] |= 1 << (at % 8)
+	}
+	return words
+}
+
+func (b *batch) put(key string, value any) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // records hold only plain values
+	}
+	b.txn.Ops = append(b.txn.Ops, store.Op{Put: key, Value: json.RawMessage(raw)})
+	b.bytes += len(raw) + 100
+}
+
+func (b *batch) delete(key string) {
+	b.txn.Ops = append(b.txn.Ops, store.Op{Delete: key})
+	b.bytes += 100
+}
+
+type recordedMsg struct {
+	r   *reign
+	b   *batch
+	res store.Result
+	err error
+}
+
+func (m recordedMsg) apply(c *Controller) {
+	if c.reign != m.r {
+		return
+	}
+	w := &m.r.recorder
+	w.busy = false
+	now := time.Now()
+	switch {
+	case m.err != nil:
+		w.waitUntil = now.Add(250 * time.Millisecond)
+		w.again(m.b)
+		if errors.Is(m.err, store.ErrUnknown) {
+			// It may have been carried out: the final records will tell.
+			w.verify(m.b.finished)
+		}
+		c.Log.Debug("records not written", "err", m.err)
+	case m.res.OK:
+		w.recorded(m.b)
+	case m.r.superseded(m.res):
+	default:
+		w.again(m.b)
+		var changed []*job
+		for _, j := range m.b.finished {
+			if slices.Contains(m.res.Failed, store.ActivePrefix+j.spec.ID) {
+				changed = append(changed, j)
+			}
+		}
+		w.verify(changed)
+		for _, p := range m.b.progressed {
+			if !p.j.over && slices.Contains(m.res.Failed, store.ActivePrefix+p.j.spec.ID) {
+				p.j.dirty = false // cancelled; the watch will say so
+				p.j.chunks[p.first] = false
+				w.dirty = slices.DeleteFunc(w.dirty, func(j *job) bool { return j == p.j })
+			}
+		}
+	}
+	w.flush(now)
+}
+
+// again puts a batch back that was not carried out, or may not have been.
+func (w *recorder) again(b *batch) {
+	w.finishing = append(slices.Clone(b.finished), w.finishing...)
+	w.enrolling = append(slices.Clone(b.enrolled), w.enrolling...)
+	w.drops = append(slices.Clone(b.drops), w.drops...)
+	for _, p := range b.progressed {
+		w.progress(p.j)
+	}
+}
+
+// recorded takes in what is now on record.
+func (w *recorder) recorded(b *batch) {
+	r := w.r
+	for _, j := range b.finished {
+		r.finished(j)
+	}
+	for _, m := range b.enrolled {
+		if m.gone {
+			w.drop(store.MachinePrefix + m.name)
+			continue
+		}
+		m.roster = rosterDurable
+	}
+	for _, p := range b.progressed {
+		for i, by := range p.words {
+			for bit := range 8 {
+				if by&(1<<bit) != 0 {
+					p.j.durable.Set(uint(p.first + i*8 + bit))
+				}
+			}
+		}
+		if _, more := p.j.unrecorded(w.perChunk); more && !p.j.over && !p.j.finishing {
+			w.progress(p.j)
+		}
+	}
+}
+
+// finished takes in that a job's end is on record.
+func (r *reign) finished(j *job) {
+	if j.over {
+		return
+	}
+	r.forget(j)
+	r.c.final.Add(j.spec.ID, store.FinalRecord{Phase: api.JobDone, Tasks: j.spec.Tasks}.FinalState(j.spec.ID))
+	for first, written := range j.chunks {
+		if written {
+			r.recorder.drop(store.ProgressKey(j.spec.ID, first))
+		}
+	}
+	r.c.Log.Debug("job done", "job", j.spec.ID, "late", math.Round(time.Since(j.due).Seconds()))
+}
+
+// verify reads how jobs ended whose end was written with an unknown outcome,
+// or against a record that had changed.
+func (w *recorder) verify(jobs []*job) {
+	for _, j := range jobs {
+		w.finishing = slices.DeleteFunc(w.finishing, func(o *job) bool { return o == j })
+		go w.r.settle(j.spec.ID)
+	}
+}
+
+func (r *reign) settle(id string) {
+	for r.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(r.ctx, 4*time.Second)
+		st, found, err := r.c.records.Lookup(ctx, id)
+		cancel()
+		if err == nil {
+			r.post(settledMsg{r, id, st, found})
+			return
+		}
+		pause(r.ctx, 300*time.Millisecond)
+	}
+}
+
+type settledMsg struct {
+	r     *reign
+	id    string
+	st    api.JobState
+	found bool
+}
+
+func (m settledMsg) apply(c *Controller) {
+	r := m.r
+	j := r.jobs[m.id]
+	if c.reign != r || j == nil || j.over {
+		return
+	}
+	switch {
+	case m.found && m.st.Phase == api.JobDone:
+		r.finished(j)
+	case m.found && m.st.Phase == api.JobWithdrawn:
+		r.withdraw(j)
+	default:
+		r.recorder.finishing = append(r.recorder.finishing, j)
+	}
+}
--- /dev/null
+++ b/internal/controller/reign.go
@@ -0,0 +1,501 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/bits-and-blooms/bitset"
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/election"
+	"example.org/ivytrestle/internal/flight"
+	"example.org/ivytrestle/internal/queue"
+	"example.org/ivytrestle/internal/store"
+)
+
+// reign is everything a node knows as leader of one term. It is dropped whole
+// when the term is over, so nothing of one term reaches into another.
+type reign struct {
+	c      *Controller
+	ctx    context.Context
+	cancel context.CancelFunc
+	term   election.Term
+	until  time.Time
+	began  time.Time
+
+	loaded     bool
+	cancelMark uint64
+	attempts   uint32
+
+	jobs     map[string]*job
+	teams    map[string]*queue.Team[*job]
+	turns    []*queue.Team[*job]
+	machines map[string]*machine
+	// expected are machines that were rented or listed but have not reported.
+	expected map[string]*expected
+	// returned remembers machines that are gone, whose reports may still
+	// arrive.
+	returned *lru.Cache[string, bool]
+
+	// unheard are the machines on the roster that may still carry out orders
+	// of earlier terms.
+	unheard     int
+	unheardCPUs float64
+	unheardGPUs float64
+
+	confirm  confirmer
+	recorder recorder
+	renter   renter
+	nextScan time.Time
+}
+
+type expected struct {
+	typ   string
+	zone  string
+	spot  bool
+	since time.Time
+	boot  time.Duration
+	cpus  float64
+	// returning is set while the machine is being given back unused.
+	returning bool
+}
+
+func newReign(c *Controller, term election.Term, until time.Time) *reign {
+	ctx, cancel := context.WithCancel(context.Background())
+	returned, err := lru.New[string, bool](4096)
+	if err != nil {
+		panic(err) // only for a size that is not positive
+	}
+	r := &reign{
+		c: c, ctx: ctx, cancel: cancel, term: term, until: until, began: time.Now(),
+		jobs: map[string]*job{}, teams: map[string]*queue.Team[*job]{},
+		machines: map[string]*machine{}, expected: map[string]*expected{}, returned: returned,
+	}
+	r.confirm.r = r
+	r.recorder.init(r)
+	r.renter.init(r)
+	for _, t := range c.Settings.Site.Teams {
+		q := &queue.Team[*job]{Name: t.Name, CPUs: t.CPUs, CPUsMax: t.CPUsMax, GPUs: t.GPUs, GPUsMax: t.GPUsMax,
+			Share: c.Policy.Share(t.Name, max(t.CPUs, t.GPUs, 1))}
+		r.teams[t.Name] = q
+		r.turns = append(r.turns, q)
+	}
+	go r.load()
+	return r
+}
+
+func (r *reign) termGuard() store.Guard {
+	return store.Guard{Key: election.TermKey, Mark: r.term.Mark}
+}
+
+// post sends a message unless the term has ended.
+func (r *reign) post(m message) {
+	select {
+	case r.c.mail <- m:
+	case <-r.ctx.Done():
+	}
+}
+
+// superseded ends the reign if a failed transaction shows that another term
+// has begun.
+func (r *reign) superseded(res store.Result) bool {
+	if !slices.Contains(res.Failed, election.TermKey) {
+		return false
+	}
+	r.depose()
+	return true
+}
+
+func (r *reign) depose() {
+	if r.c.reign == r {
+		r.c.endReign()
+		select {
+		case r.c.depose <- r.term.Number:
+		default:
+		}
+	}
+}
+
+// snapshot is what a new leader reads of the store.
+type snapshot struct {
+	ring       uint64
+	cancelMark uint64
+	active     []store.Entry
+	progress   []store.Entry
+	machines   []store.Entry
+}
+
+// load reads the store until it succeeds.
+func (r *reign) load() {
+	for r.ctx.Err() == nil {
+		snap, err := r.read()
+		if err == nil {
+			r.post(loadedMsg{r, snap})
+			r.watch(snap.ring)
+			return
+		}
+		r.c.Log.Debug("takeover: read", "err", err)
+		pause(r.ctx, 200*time.Millisecond)
+	}
+}
+
+func (r *reign) read() (*snapshot, error) {
+	var s snapshot
+	var err error
+	// The active jobs come first: their revision is where the watch begins.
+	if s.active, s.ring, err = r.readAll(store.ActivePrefix); err != nil {
+		return nil, err
+	}
+	if s.progress, _, err = r.readAll(store.ProgressPrefix); err != nil {
+		return nil, err
+	}
+	if s.machines, _, err = r.readAll(store.MachinePrefix); err != nil {
+		return nil, err
+	}
+	s.active = slices.DeleteFunc(s.active, func(e store.Entry) bool {
+		if e.Key == store.CancelKey {
+			s.cancelMark = e.Mark
+			return true
+		}
+		return false
+	})
+	return &s, nil
+}
+
+func (r *reign) readAll(prefix string) (rows []store.Entry, ring uint64, err error) {
+	from := ""
+	for {
+		ctx, cancel := context.WithTimeout(r.ctx, 3*time.Second)
+		p, err := r.c.Store.Range(ctx, prefix, from, 500)
+		cancel()
+		if err != nil {
+			return nil, 0, err
+		}
+		if ring == 0 {
+			ring = p.Ring
+		}
+		rows = append(rows, p.Rows...)
+		if !p.More || len(p.Rows) == 0 {
+			return rows, ring, nil
+		}
+		from = p.Rows[len(p.Rows)-1].Key
+	}
+}
+
+// watch follows the active jobs from a revision on.
+func (r *reign) watch(from uint64) {
+	const block = 20 * time.Second
+	for r.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(r.ctx, block+10*time.Second)
+		ch, err := r.c.Store.Watch(ctx, store.ActivePrefix, from, block)
+		cancel()
+		switch {
+		case errors.Is(err, store.ErrCompacted):
+			// Too far behind: a new term reads everything again.
+			r.post(deposeMsg{r})
+			return
+		case err != nil:
+			r.c.Log.Debug("watch", "err", err)
+			pause(r.ctx, 300*time.Millisecond)
+			continue
+		}
+		from = max(from, ch.Ring)
+		if len(ch.Events) > 0 {
+			r.post(changesMsg{r, ch.Events})
+			pause(r.ctx, 40*time.Millisecond)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+type deposeMsg struct{ r *reign }
+
+func (m deposeMsg) apply(*Controller) { m.r.depose() }
+
+type loadedMsg struct {
+	r *reign
+	s *snapshot
+}
+
+func (m loadedMsg) apply(c *Controller) {
+	r := m.r
+	if c.reign != r {
+		return
+	}
+	now := time.Now()
+	r.cancelMark = m.s.cancelMark
+	for _, e := range m.s.active {
+		r.addJob(e.Key, e.Value, e.Mark)
+	}
+	for _, e := range m.s.progress {
+		r.addProgress(e, now)
+	}
+	for _, e := range m.s.machines {
+		name := e.Key[len(store.MachinePrefix):]
+		var rec store.MachineRecord
+		if err := json.Unmarshal(e.Value, &rec); err != nil {
+			c.Log.Error("roster record", "key", e.Key, "err", err)
+		}
+		mc := r.addMachine(name, rec.Type, rec.Zone, rec.Spot, now)
+		mc.cpus, mc.gpus, mc.memory = rec.CPUs, rec.GPUs, rec.MemoryGB
+		mc.roster = rosterDurable
+		r.unheard++
+		r.unheardCPUs += mc.cpus
+		r.unheardGPUs += mc.gpus
+	}
+	r.loaded = true
+	c.Log.Info("takeover: read", "term", r.term.Number, "jobs", len(r.jobs), "machines", r.unheard)
+}
+
+func (r *reign) addProgress(e store.Entry, now time.Time) {
+	id, first, ok := store.ParseProgressKey(e.Key)
+	if !ok {
+		return
+	}
+	j := r.jobs[id]
+	if j == nil {
+		r.recorder.drop(e.Key)
+		return
+	}
+	var rec store.ProgressRecord
+	if err := json.Unmarshal(e.Value, &rec); err != nil {
+		r.c.Log.Error("progress record", "key", e.Key, "err", err)
+		return
+	}
+	j.chunks[first] = true
+	for i, b := range rec.Done {
+		for bit := range 8 {
+			if task := first + i*8 + bit; b&(1<<bit) != 0 && task < j.spec.Tasks {
+				j.durable.Set(uint(task))
+				r.taskDone(j, task, now)
+			}
+		}
+	}
+}
+
+// changesMsg brings what the watch saw.
+type changesMsg struct {
+	r      *reign
+	events []store.Event
+}
+
+func (m changesMsg) apply(c *Controller) {
+	r := m.r
+	if c.reign != r {
+		return
+	}
+	for _, e := range m.events {
+		switch {
+		case e.Put == store.CancelKey:
+			r.cancelMark = max(r.cancelMark, e.Mark)
+		case e.Put != "":
+			r.addJob(e.Put, e.Value, e.Mark)
+		default:
+			id := e.Delete[len(store.ActivePrefix):]
+			// A job that this leader is finishing is settled by the recorder.
+			if j := r.jobs[id]; j != nil && !j.finishing && e.Mark > j.mark {
+				r.withdraw(j)
+			}
+		}
+	}
+}
+
+func (r *reign) addJob(key string, value []byte, mark uint64) {
+	id := key[len(store.ActivePrefix):]
+	if _, ok := r.c.final.Get(id); ok || r.jobs[id] != nil {
+		return
+	}
+	var rec store.ActiveRecord
+	if err := json.Unmarshal(value, &rec); err != nil {
+		r.c.Log.Error("job record", "key", key, "err", err)
+		return
+	}
+	team := r.teams[rec.Spec.Team]
+	if team == nil || rec.Spec.Tasks < 1 {
+		r.c.Log.Error("job record", "key", key, "team", rec.Spec.Team, "tasks", rec.Spec.Tasks)
+		return
+	}
+	n := uint(rec.Spec.Tasks)
+	j := &job{
+		spec: rec.Spec, mark: mark, accepted: rec.Accepted, rank: api.PriorityRank(rec.Spec.Priority), team: team,
+		flight: flight.New(rec.Spec.Tasks), live: map[int]*attempt{},
+		done: bitset.New(n), durable: bitset.New(n), chunks: map[int]bool{},
+		zones: map[string]int{}, restarted: map[int]bool{}, barred: map[int]string{}, errors: map[string]int{},
+	}
+	j.due = r.dueTime(j)
+	r.jobs[id] = j
+	team.Add(j)
+	r.c.Log.Debug("job", "job", id, "class", j.spec.Class, "team", j.spec.Team, "tasks", j.spec.Tasks)
+}
+
+// dueTime is when a job should be complete: by its deadline, or else by the
+// shortest time that the objectives name for its class.
+func (r *reign) dueTime(j *job) time.Time {
+	if j.spec.DeadlineS > 0 {
+		return j.accepted.Add(time.Duration(j.spec.DeadlineS * float64(time.Second)))
+	}
+	within := 0.0
+	for _, o := range r.c.Settings.Site.Objectives {
+		if o.Kind == "finished" && o.Class == j.spec.Class && (within == 0 || o.WithinS < within) {
+			within = o.WithinS
+		}
+	}
+	if within == 0 {
+		within = 10 * j.spec.EstimateS
+	}
+	return j.accepted.Add(time.Duration(within * float64(time.Second)))
+}
+
+// withdraw takes in that a job was cancelled. What runs of it is stopped by
+// the answers to its machines' reports.
+func (r *reign) withdraw(j *job) {
+	r.forget(j)
+	r.c.final.Add(j.spec.ID, api.JobState{ID: j.spec.ID, Phase: api.JobWithdrawn})
+	for first := range j.chunks {
+		r.recorder.drop(store.ProgressKey(j.spec.ID, first))
+	}
+}
+
+// forget drops a job that is over.
+func (r *reign) forget(j *job) {
+	j.over = true
+	j.dirty = false
+	delete(r.jobs, j.spec.ID)
+	j.team.Remove(j)
+}
+
+// taskDone takes in that a task has completed.
+func (r *reign) taskDone(j *job, task int, now time.Time) {
+	if j.done.Test(uint(task)) {
+		return
+	}
+	j.done.Set(uint(task))
+	j.doneCount++
+	j.flight.Take(task)
+	if a := j.live[task]; a != nil && !a.exited {
+		r.stop(a, 0, now)
+	}
+	if j.over {
+		return
+	}
+	if j.doneCount == j.spec.Tasks {
+		r.recorder.finish(j)
+		return
+	}
+	if !j.durable.Test(uint(task)) {
+		r.recorder.progress(j)
+	}
+}
+
+func (r *reign) tick(now time.Time) {
+	if !r.loaded || !r.c.valid() {
+		return
+	}
+	r.recorder.flush(now)
+	if now.Before(r.nextScan) {
+		return
+	}
+	r.nextScan = now.Add(time.Second)
+	for _, t := range r.turns {
+		t.Resort()
+	}
+	r.scanMachines(now)
+	r.scanOverdue(now)
+	r.renter.tick(now)
+}
+
+// scanMachines gives back the machines that are silent, bad or idle.
+func (r *reign) scanMachines(now time.Time) {
+	w := r.c.Settings.Site.Workers
+	silence := w.Lease()*6/10 + w.Report()
+	for _, m := range r.machines {
+		if m.returning || m.gone {
+			continue
+		}
+		quiet := now.Sub(m.lastSeen)
+		switch {
+		case quiet > silence:
+			r.leave(m, "silent")
+			r.renter.giveBack(m)
+		case m.leaving && len(m.attempts) == 0:
+			r.renter.giveBack(m)
+		case m.leaving && now.Sub(m.since) > 0 && quiet > w.Report()*3:
+			// Leaving and quiet: nothing to be gained by waiting longer.
+			r.renter.giveBack(m)
+		}
+	}
+	idle := r.renter.idle(now)
+	for _, m := range idle {
+		r.leave(m, "idle")
+		r.renter.giveBack(m)
+	}
+}
+
+// leave stops giving a machine tasks.
+func (r *reign) leave(m *machine, why string) {
+	if m.leaving {
+		return
+	}
+	m.leaving, m.why = true, why
+	r.c.Log.Info("machine leaves", "machine", m.name, "type", m.typ, "why", why, "tasks", len(m.attempts))
+}
+
+// machineGone takes in that the cloud has confirmed a machine's return.
+// Only this, or a newer report, shows that a task is off its machine.
+func (r *reign) machineGone(m *machine) {
+	m.gone = true
+	r.returned.Add(m.name, true)
+	delete(r.machines, m.name)
+	r.countHeard(m)
+	for _, a := range m.attempts {
+		r.offMachine(a)
+	}
+	if m.roster != rosterNone {
+		r.recorder.drop(store.MachinePrefix + m.name)
+	}
+	r.c.Log.Info("machine gone", "machine", m.name, "why", m.why)
+}
+
+// countHeard notes that a machine can no longer surprise this term.
+func (r *reign) countHeard(m *machine) {
+	if m.heard || m.roster != rosterDurable {
+		return
+	}
+	m.heard = true
+	r.unheard--
+	r.unheardCPUs -= m.cpus
+	r.unheardGPUs -= m.gpus
+	if r.unheard == 0 {
+		r.c.Log.Info("takeover: all machines heard or gone", "term", r.term.Number,
+			"after", time.Since(r.began).Round(time.Millisecond))
+	}
+}
+
+func (r *reign) addMachine(name, typ, zone string, spot bool, now time.Time) *machine {
+	m := &machine{name: name, typ: typ, zone: zone, spot: spot, lastSeen: now, since: now, idle: now,
+		attempts: map[attemptKey]*attempt{}, images: map[string]time.Time{}, errorJobs: map[string]int{}}
+	if mt, ok := r.c.types.load()[typ]; ok {
+		m.cpus, m.gpus, m.memory = mt.CPUs, mt.GPUs, mt.MemoryGB
+	}
+	r.machines[name] = m
+	delete(r.expected, name)
+	return m
+}
+
+func (r *reign) nextAttempt() uint64 {
+	r.attempts++
+	return r.term.Number<<32 | uint64(r.attempts)
+}
+
+func (r *reign) rentalName(n int) string { return fmt.Sprintf("r-%d-%d", r.term.Number, n) }
--- /dev/null
+++ b/internal/controller/renter.go
@@ -0,0 +1,317 @@
+package controller
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"example.org/ivytrestle/internal/cloud"
+	"example.org/ivytrestle/internal/fleet"
+)
+
+// renter rents machines for what waits and gives back what is not needed. It
+// is a part of the reign and speaks to the cloud through goroutines that
+// answer by messages.
+type renter struct {
+	r        *reign
+	named    int
+	renting  int
+	blocked  map[fleet.Kind]time.Time
+	returns  []string
+	sending  bool
+	nextList time.Time
+	listing  bool
+	surplus  float64
+}
+
+const (
+	maxRenting   = 3
+	listInterval = 5 * time.Second
+	// blockedFor is how long a kind of machine that was refused is left alone.
+	blockedFor = 15 * time.Second
+)
+
+func (f *renter) init(r *reign) {
+	f.r = r
+	f.blocked = map[fleet.Kind]time.Time{}
+}
+
+func (f *renter) tick(now time.Time) {
+	f.sendReturns()
+	f.list(now)
+	f.rent(now)
+}
+
+// demand is the CPUs that the teams could use now, each within its limit.
+func (f *renter) demand() float64 {
+	sum := 0.0
+	for _, t := range f.r.turns {
+		want := t.UsedCPUs
+		for _, j := range t.Items() {
+			if !j.finishing && j.faulty == 0 {
+				want += float64(j.flight.Untaken()) * j.spec.CPUs
+			}
+		}
+		sum += min(want, t.CPUsMax)
+	}
+	return sum
+}
+
+// rent covers what is lacking.
+func (f *renter) rent(now time.Time) {
+	r := f.r
+	used, total := 0.0, 0.0
+	for _, m := range r.machines {
+		used += m.usedCPUs
+		if !m.leaving && !m.gone {
+			total += m.cpus
+		}
+	}
+	booting := 0.0
+	for _, e := range r.expected {
+		if !e.returning {
+			booting += e.cpus
+		}
+	}
+	demand := f.demand() * (1 + r.c.Policy.Headroom)
+	f.surplus = total - max(demand, r.c.Policy.MinCPUs)
+	lack := max(demand, r.c.Policy.MinCPUs) - total - booting
+	if lack <= 0 || f.renting >= maxRenting || r.unheard > 0 {
+		return
+	}
+	for _, p := range fleet.Plan(lack, f.offers(now), cloud.MaxRent) {
+		f.named++
+		f.renting++
+		req := cloud.Rental{Name: r.rentalName(f.named), Type: p.Type, Zone: p.Zone, Spot: p.Spot, Count: p.Count}
+		go r.hire(req, p.Offer)
+	}
+}
+
+// offers are the kinds of machine that were not refused lately.
+func (f *renter) offers(now time.Time) []fleet.Offer {
+	var all []fleet.Offer
+	for _, mt := range f.r.c.types.load() {
+		for _, z := range mt.Zones {
+			for _, spot := range []bool{true, false} {
+				o := fleet.Offer{Type: mt.Name, Zone: z, Spot: spot, CPUs: mt.CPUs, Price: mt.Price,
+					Boot: time.Duration(mt.BootS * float64(time.Second))}
+				if spot {
+					if !f.r.c.Policy.UseSpot || mt.SpotPrice <= 0 {
+						continue
+					}
+					o.Price = mt.SpotPrice
+				}
+				if mt.CPUs > 0 && now.After(f.blocked[o.Kind()]) {
+					all = append(all, o)
+				}
+			}
+		}
+	}
+	return all
+}
+
+// hire sends a rental until its outcome is known. The name makes repeats safe.
+func (r *reign) hire(req cloud.Rental, o fleet.Offer) {
+	wait := time.Second
+	for range 6 {
+		ctx, cancel := context.WithTimeout(r.ctx, 5*time.Second)
+		hosts, err := r.c.Cloud.Rent(ctx, req)
+		cancel()
+		if err == nil || errors.Is(err, cloud.ErrNoCapacity) {
+			r.post(hiredMsg{r, req, o, hosts})
+			return
+		}
+		r.c.Log.Debug("rental", "name", req.Name, "err", err)
+		pause(r.ctx, wait)
+		wait = min(2*wait, 8*time.Second)
+	}
+	// If it was carried out after all, the list or a report shows it.
+	r.post(hiredMsg{r: r, req: req, o: o})
+}
+
+type hiredMsg struct {
+	r     *reign
+	req   cloud.Rental
+	o     fleet.Offer
+	hosts []string
+}
+
+func (m hiredMsg) apply(c *Controller) {
+	r := m.r
+	if c.reign != r {
+		return
+	}
+	now := time.Now()
+	r.renter.renting--
+	if len(m.hosts) < m.req.Count {
+		r.renter.blocked[m.o.Kind()] = now.Add(blockedFor)
+	}
+	if len(m.hosts) > 0 {
+		c.Log.Info("machines rented", "type", m.req.Type, "zone", m.req.Zone, "spot", m.req.Spot,
+			"asked", m.req.Count, "got", len(m.hosts))
+	}
+	for _, h := range m.hosts {
+		if r.machines[h] == nil && !r.returned.Contains(h) {
+			r.expected[h] = &expected{typ: m.req.Type, zone: m.req.Zone, spot: m.req.Spot, since: now, boot: m.o.Boot, cpus: m.o.CPUs}
+		}
+	}
+}
+
+// idle picks the machines to give back: empty for long enough, the dearest
+// first, as far as what remains covers the demand.
+func (f *renter) idle(now time.Time) []*machine {
+	var out []*machine
+	for _, m := range f.r.machines {
+		if m.leaving || m.gone || !m.heard || m.cpus == 0 || len(m.attempts) > 0 || now.Sub(m.idle) < f.r.c.Policy.IdleReturn {
+			continue
+		}
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b *machine) int {
+		return cmp.Or(-cmp.Compare(f.cpuPrice(a), f.cpuPrice(b)), cmp.Compare(a.name, b.name))
+	})
+	n := 0
+	for _, m := range out {
+		if f.surplus < m.cpus {
+			break
+		}
+		f.surplus -= m.cpus
+		n++
+	}
+	return out[:n]
+}
+
+func (f *renter) cpuPrice(m *machine) float64 {
+	mt, ok := f.r.c.types.load()[m.typ]
+	if !ok || mt.CPUs == 0 {
+		return 0
+	}
+	if m.spot {
+		return mt.SpotPrice / mt.CPUs
+	}
+	return mt.Price / mt.CPUs
+}
+
+// giveBack returns a machine to the cloud.
+func (f *renter) giveBack(m *machine) {
+	m.returning = true
+	f.returns = append(f.returns, m.name)
+	f.sendReturns()
+}
+
+func (f *renter) sendReturns() {
+	if f.sending || len(f.returns) == 0 {
+		return
+	}
+	n := min(len(f.returns), cloud.MaxReturn)
+	names := slices.Clone(f.returns[:n])
+	f.returns = f.returns[n:]
+	f.sending = true
+	r := f.r
+	go func() {
+		ctx, cancel := context.WithTimeout(r.ctx, 5*time.Second)
+		defer cancel()
+		err := r.c.Cloud.Return(ctx, names)
+		r.post(returnedMsg{r, names, err})
+	}()
+}
+
+type returnedMsg struct {
+	r     *reign
+	names []string
+	err   error
+}
+
+func (m returnedMsg) apply(c *Controller) {
+	r := m.r
+	if c.reign != r {
+		return
+	}
+	r.renter.sending = false
+	if m.err != nil {
+		c.Log.Debug("machines not returned", "machines", m.names, "err", m.err)
+		r.renter.returns = append(r.renter.returns, m.names...)
+		return
+	}
+	for _, name := range m.names {
+		delete(r.expected, name)
+		r.returned.Add(name, true)
+		if mc := r.machines[name]; mc != nil {
+			r.machineGone(mc)
+		}
+	}
+	r.renter.sendReturns()
+}
+
+// list reads the cloud's list from time to time: for machines that nobody
+// expected, that never came up, or that have stopped.
+func (f *renter) list(now time.Time) {
+	if f.listing || now.Before(f.nextList) {
+		return
+	}
+	f.listing = true
+	r := f.r
+	go func() {
+		ctx, cancel := context.WithTimeout(r.ctx, 5*time.Second)
+		defer cancel()
+		hosts, err := r.c.Cloud.List(ctx)
+		r.post(listedMsg{r, hosts, err})
+	}()
+}
+
+type listedMsg struct {
+	r     *reign
+	hosts []cloud.Machine
+	err   error
+}
+
+func (m listedMsg) apply(c *Controller) {
+	r := m.r
+	if c.reign != r {
+		return
+	}
+	f := &r.renter
+	now := time.Now()
+	f.listing, f.nextList = false, now.Add(listInterval)
+	if m.err != nil {
+		c.Log.Debug("machines not listed", "err", m.err)
+		return
+	}
+	for i := range m.hosts {
+		r.listed(&m.hosts[i], now)
+	}
+}
+
+// listed takes in one machine of the cloud's list, which lags.
+func (r *reign) listed(h *cloud.Machine, now time.Time) {
+	if r.returned.Contains(h.Name) {
+		return
+	}
+	if m := r.machines[h.Name]; m != nil {
+		if h.Phase == cloud.PhaseFailed && !m.returning && now.Sub(m.lastSeen) > 2*r.c.Settings.Site.Workers.Report() {
+			r.leave(m, "stopped")
+			r.renter.giveBack(m)
+		}
+		return
+	}
+	mt := r.c.types.load()[h.Type]
+	boot := time.Duration(mt.BootS * float64(time.Second))
+	age := time.Duration(h.AgeS * float64(time.Second))
+	e := r.expected[h.Name]
+	if e == nil {
+		e = &expected{typ: h.Type, zone: h.Zone, spot: h.Spot, since: now.Add(-age), boot: boot, cpus: mt.CPUs}
+		r.expected[h.Name] = e
+	}
+	if e.returning {
+		return
+	}
+	// A machine that is up reports within seconds; one that boots may take
+	// several times as long as usual.
+	if h.Phase == cloud.PhaseFailed || (now.Sub(e.since) > 4*boot+r.c.Settings.Site.Workers.Lease()) {
+		r.c.Log.Info("machine never reported", "machine", h.Name, "phase", h.Phase, "age", age.Round(time.Second))
+		e.returning = true
+		r.renter.returns = append(r.renter.returns, h.Name)
+	}
+}
--- /dev/null
+++ b/internal/controller/report.go
@@ -0,0 +1,413 @@
+package controller
+
+import (
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/queue"
+)
+
+// maxOrders bounds the orders of one answer: a line of an answer must stay
+// below 64 KiB.
+const maxOrders = 200
+
+// report takes a worker's report in and gives it its orders. Orders go in
+// answers only: an answer that comes late is dropped by the worker, while an
+// order sent by itself could be carried out minutes later.
+func (r *reign) report(rep *api.Report, now time.Time) (api.ReportAnswer, error) {
+	ans := api.ReportAnswer{Term: r.term.Number, Orders: []api.Order{}}
+	if rep.Term > r.term.Number {
+		// The machine has seen a later term than this one.
+		r.depose()
+		return ans, &api.NotLeaderError{}
+	}
+	if !r.loaded {
+		return ans, nil // keeps the lease and makes the machine heard
+	}
+	if r.returned.Contains(rep.Machine) {
+		return ans, api.ErrUnavailable // given back; this was held up on its way
+	}
+	m := r.machines[rep.Machine]
+	if m == nil {
+		m = r.addMachine(rep.Machine, rep.Type, rep.Zone, rep.Spot, now)
+		r.c.Log.Info("machine up", "machine", m.name, "type", m.typ, "zone", m.zone, "spot", m.spot)
+	}
+	if rep.Session < m.session || (rep.Session == m.session && rep.Seq <= m.seq) {
+		return ans, nil // older than what is known
+	}
+	m.session, m.seq, m.lastSeen, m.addr = rep.Session, rep.Seq, now, rep.Addr
+	if m.cpus == 0 {
+		if mt, ok := r.c.types.load()[m.typ]; ok {
+			m.cpus, m.gpus, m.memory = mt.CPUs, mt.GPUs, mt.MemoryGB
+		}
+	}
+	if rep.NoticeS != nil {
+		r.notice(m, *rep.NoticeS, now)
+	}
+	ans.Orders = r.reconcile(m, rep, ans.Orders, now)
+	if m.roster == rosterNone && m.cpus > 0 && !m.leaving {
+		m.roster = rosterWriting
+		// Unknown to the roster: no earlier leader started anything here.
+		m.heard = true
+		r.recorder.enroll(m)
+	}
+	if rep.Term == r.term.Number {
+		r.countHeard(m)
+		ans.Orders = r.place(m, ans.Orders, now)
+	}
+	if m.usedCPUs > slack || len(m.attempts) > 0 {
+		m.idle = now
+	}
+	return ans, nil
+}
+
+// notice takes in that the cloud will take the machine.
+func (r *reign) notice(m *machine, seconds float64, now time.Time) {
+	left := time.Duration(seconds * float64(time.Second))
+	first := m.reclaim.IsZero()
+	m.reclaim = now.Add(left)
+	if !first {
+		return
+	}
+	r.leave(m, "taken by the cloud")
+	for _, a := range m.attempts {
+		if a.exited || a.job == nil {
+			continue
+		}
+		s := &a.job.spec
+		if s.CheckpointS > 0 {
+			r.stop(a, left, now)
+		} else if a.runningAt.IsZero() || a.runningAt.Add(s.Estimate()).After(m.reclaim) {
+			// It would not end in time; elsewhere it can begin now.
+			r.stop(a, 0, now)
+		}
+	}
+}
+
+// stop marks an attempt to be stopped by the answers to its machine's reports.
+func (r *reign) stop(a *attempt, grace time.Duration, now time.Time) {
+	if a.stop != nil && a.stop.grace <= grace {
+		return
+	}
+	a.stop = &stopOrder{grace: grace, since: now}
+}
+
+// reconcile brings the machine's attempts in line with its report.
+func (r *reign) reconcile(m *machine, rep *api.Report, orders []api.Order, now time.Time) []api.Order {
+	listed := make(map[attemptKey]bool, len(rep.Tasks))
+	for i := range rep.Tasks {
+		t := &rep.Tasks[i]
+		key := attemptKey{t.Task, t.Attempt}
+		listed[key] = true
+		a := m.attempts[key]
+		if a == nil {
+			a = r.adopt(m, key, t, now)
+		}
+		r.update(a, t, now)
+		if a.exited && r.reapable(a) && len(orders) < maxOrders {
+			orders = append(orders, api.Order{Verb: api.VerbReap, Task: t.Task, Attempt: t.Attempt})
+		}
+	}
+	for key, a := range m.attempts {
+		if !listed[key] {
+			// Reaped, killed with its session, or never begun: a newer
+			// report without it shows that it is off the machine.
+			if !a.exited && !a.noted && a.phase == "" {
+				r.c.Log.Debug("start lost", "machine", m.name, "task", key.ref, "attempt", key.id)
+			}
+			r.offMachine(a)
+			continue
+		}
+		if a.exited || len(orders) >= maxOrders {
+			continue
+		}
+		if a.job == nil || a.job.over || a.job.live[a.task] != a {
+			r.stop(a, 0, now)
+		}
+		if a.stop != nil {
+			grace := max(0, a.stop.grace-now.Sub(a.stop.since)).Seconds()
+			orders = append(orders, api.Order{Verb: api.VerbStop, Task: key.ref, Attempt: key.id, GraceS: &grace})
+		}
+	}
+	return orders
+}
+
+// adopt takes in an attempt that this leader did not start.
+func (r *reign) adopt(m *machine, key attemptKey, t *api.TaskReport, now time.Time) *attempt {
+	a := &attempt{key: key, machine: m, phase: t.Phase, sentAt: now}
+	m.attempts[key] = a
+	id, task, ok := splitRef(key.ref)
+	if j := r.jobs[id]; ok && j != nil && task < j.spec.Tasks {
+		a.job, a.task = j, task
+	}
+	if t.Phase == api.TaskExited {
+		a.exited = true
+		return a
+	}
+	a.charge(1)
+	if a.job != nil && a.job.live[task] == nil {
+		a.job.live[task] = a
+		a.job.flight.Take(task)
+		a.job.flight.Join(m.name)
+	}
+	return a
+}
+
+// update takes in what a report says of an attempt.
+func (r *reign) update(a *attempt, t *api.TaskReport, now time.Time) {
+	was := a.phase
+	a.phase = t.Phase
+	if a.phase == api.TaskRunning && was != api.TaskRunning {
+		a.runningAt = now
+		if a.job != nil {
+			a.machine.images[a.job.spec.Image] = now
+		}
+	}
+	if t.Phase != api.TaskExited {
+		return
+	}
+	if !a.exited {
+		a.exited = true
+		a.charge(-1)
+	}
+	if a.noted {
+		return
+	}
+	a.noted = true
+	r.exit(a, t, now)
+}
+
+// exit takes in why an attempt ended.
+func (r *reign) exit(a *attempt, t *api.TaskReport, now time.Time) {
+	j, m := a.job, a.machine
+	if j == nil {
+		return
+	}
+	if t.Cause == api.CauseDone {
+		r.taskDone(j, a.task, now)
+		j.faulty = 0
+		m.pause = 0
+		clear(m.errorJobs)
+		m.images[j.spec.Image] = now
+	}
+	r.release(a)
+	switch t.Cause {
+	case api.CauseError:
+		r.failed(a, now)
+	case api.CauseNoRoom, api.CauseBusy, api.CauseNoSuch:
+		r.c.Log.Debug("start refused", "machine", m.name, "task", a.key.ref, "why", t.Cause)
+		m.pauseUntil = now.Add(time.Second)
+	}
+}
+
+// release gives an attempt's task back to its job, unless it is done or held
+// by another attempt.
+func (r *reign) release(a *attempt) {
+	j := a.job
+	if j == nil || j.live[a.task] != a {
+		return
+	}
+	delete(j.live, a.task)
+	if !j.done.Test(uint(a.task)) {
+		j.flight.Release(a.task)
+	}
+}
+
+// offMachine takes in that an attempt is no longer on its machine.
+func (r *reign) offMachine(a *attempt) {
+	delete(a.machine.attempts, a.key)
+	if !a.exited {
+		a.exited = true
+		a.charge(-1)
+	}
+	r.release(a)
+}
+
+// reapable tells whether an exited attempt may be dropped from the reports: a
+// completed one only once that is on record, so that a new leader finds it.
+func (r *reign) reapable(a *attempt) bool {
+	j := a.job
+	return j == nil || j.over || !j.done.Test(uint(a.task)) || j.durable.Test(uint(a.task))
+}
+
+// failed takes in that a task ended with an error. Mostly the machine is at
+// fault; a job whose tasks fail on several machines and complete on none is.
+func (r *reign) failed(a *attempt, now time.Time) {
+	j, m := a.job, a.machine
+	j.errors[m.name]++
+	j.barred[a.task] = m.name
+	if j.doneCount == 0 && len(j.errors) >= 3 {
+		j.faulty++
+		hold := min(5*time.Second<<min(j.faulty, 4), time.Minute)
+		j.heldUntil = now.Add(hold)
+		if j.faulty == 1 {
+			r.c.Log.Info("job fails on every machine", "job", j.spec.ID, "machines", len(j.errors))
+			for name := range j.errors {
+				if o := r.machines[name]; o != nil {
+					delete(o.errorJobs, j.spec.ID)
+				}
+			}
+		}
+		return
+	}
+	m.errorJobs[j.spec.ID]++
+	m.pause = min(max(2*m.pause, time.Second), 30*time.Second)
+	m.pauseUntil = now.Add(m.pause)
+	if len(m.errorJobs) >= 2 || (j.doneCount > 0 && m.errorJobs[j.spec.ID] >= 2) {
+		if !m.leaving {
+			r.c.Log.Info("machine quarantined", "machine", m.name, "jobs", len(m.errorJobs))
+			r.leave(m, "fails tasks")
+			for _, o := range m.attempts {
+				if !o.exited && o.job != nil {
+					r.stop(o, o.job.spec.Save()*2, now)
+				}
+			}
+		}
+	}
+}
+
+// place pulls tasks for a machine with free room.
+func (r *reign) place(m *machine, orders []api.Order, now time.Time) []api.Order {
+	if !m.open(now) {
+		return orders
+	}
+	for len(orders) < maxOrders {
+		j := r.pick(m, now)
+		if j == nil {
+			break
+		}
+		j.flight.Join(m.name)
+		task, ok := j.flight.PullExcept(m.name, func(t int) bool { return j.barred[t] == m.name })
+		if !ok {
+			break
+		}
+		a := &attempt{key: attemptKey{j.taskRef(task), r.nextAttempt()}, machine: m, job: j, task: task,
+			sentSeq: m.seq, sentAt: now}
+		m.attempts[a.key] = a
+		j.live[task] = a
+		a.charge(1)
+		orders = append(orders, api.Order{Verb: api.VerbStart, Task: a.key.ref, Attempt: a.key.id})
+	}
+	return orders
+}
+
+// pick chooses the job whose flight this machine serves next: the teams in
+// turn by shares, first for what their guarantees cover, then for what they
+// borrow.
+func (r *reign) pick(m *machine, now time.Time) *job {
+	if m.freeCPUs() < slack && m.gpus <= m.usedGPUs {
+		return nil
+	}
+	queue.Turns(r.turns)
+	for _, guaranteed := range []bool{true, false} {
+		for _, t := range r.turns {
+			for _, j := range t.Items() {
+				if j.flight.Untaken() == 0 || t.Guaranteed(j.spec.CPUs, j.spec.GPUs) != guaranteed {
+					continue
+				}
+				if r.eligible(j, m, now) {
+					return j
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// eligible tells whether the next task of a job may start on a machine.
+func (r *reign) eligible(j *job, m *machine, now time.Time) bool {
+	s := &j.spec
+	switch {
+	case j.over || j.finishing || now.Before(j.heldUntil):
+		return false
+	case r.unheard > 0 && j.mark <= r.term.Mark:
+		// A machine not heard in this term may hold any task that was
+		// accepted before it.
+		return false
+	case !m.fits(s) || !typeAllowed(s, m.typ) || (s.Zone != "" && s.Zone != m.zone) || (m.spot && !s.Spot):
+		return false
+	case !j.team.Allowed(s.CPUs, s.GPUs, r.unheardCPUs+r.foreignCPUs(), r.unheardGPUs):
+		return false
+	case j.errors[m.name] >= 2 || j.onlyBarred(m):
+		return false
+	}
+	if s.OneZone {
+		for z, n := range j.zones {
+			if n > 0 && z != m.zone {
+				return false
+			}
+		}
+	}
+	return !s.Spread || j.zones[m.zone] < (s.Tasks+1)/2
+}
+
+// onlyBarred tells whether every untaken task of a job failed on a machine.
+func (j *job) onlyBarred(m *machine) bool {
+	if len(j.barred) == 0 {
+		return false
+	}
+	n := 0
+	for task, name := range j.barred {
+		if name == m.name && !j.done.Test(uint(task)) && j.live[task] == nil {
+			n++
+		}
+	}
+	return n >= j.flight.Untaken()
+}
+
+// foreignCPUs is the whole capacity of machines that hold tasks of jobs that
+// are over: whose team they count for is not known.
+func (r *reign) foreignCPUs() float64 {
+	sum := 0.0
+	for _, m := range r.machines {
+		if m.foreign > 0 {
+			sum += m.cpus
+		}
+	}
+	return sum
+}
+
+// overdueTimes is how many estimates a run may take before it is overdue.
+const overdueTimes = 2
+
+// scanOverdue restarts, once, a run past twice its estimate when its machine's
+// other tasks of the job overran as well and those on other machines did not.
+func (r *reign) scanOverdue(now time.Time) {
+	for _, j := range r.jobs {
+		est := j.spec.Estimate()
+		if est <= 0 || len(j.live) == 0 {
+			continue
+		}
+		over, total := map[*machine]int{}, map[*machine]int{}
+		for _, a := range j.live {
+			if a.runningAt.IsZero() || a.exited {
+				continue
+			}
+			total[a.machine]++
+			if now.Sub(a.runningAt) > overdueTimes*est {
+				over[a.machine]++
+			}
+		}
+		for _, a := range j.live {
+			m := a.machine
+			if a.stop != nil || j.restarted[a.task] || over[m] < 2 || over[m] != total[m] ||
+				a.runningAt.IsZero() || now.Sub(a.runningAt) <= overdueTimes*est {
+				continue
+			}
+			others, othersOver := 0, 0
+			for o, n := range total {
+				if o != m {
+					others += n
+					othersOver += over[o]
+				}
+			}
+			if others+j.doneCount == 0 || othersOver > 0 {
+				continue
+			}
+			j.restarted[a.task] = true
+			j.barred[a.task] = m.name
+			r.c.Log.Info("slow run restarted", "task", a.key.ref, "machine", m.name)
+			r.stop(a, j.spec.Save()*2, now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,223 @@
+// Package peer carries questions between controllers: length-prefixed
+// protobuf messages over one TCP connection for each direction.
+package peer
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// maxMessage bounds a message between controllers.
+const maxMessage = 64 << 10
+
+// ErrUnable means that the peer is not entitled to answer.
+var ErrUnable = errors.New("peer: not entitled to answer")
+
+// Handler answers a peer's question about a job. An error tells the peer that
+// this node is unable to answer.
+type Handler func(ctx context.Context, id string) (*JobStatus, error)
+
+// maxInFlight bounds the questions of one connection that are being answered.
+const maxInFlight = 64
+
+// Serve answers the peers that connect to a listener.
+func Serve(ctx context.Context, ln net.Listener, h Handler, log *slog.Logger) error {
+	go func() { <-ctx.Done(); ln.Close() }()
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			if errors.Is(err, net.ErrClosed) {
+				return fmt.Errorf("peer: accept: %w", err)
+			}
+			log.Debug("peer accept", "err", err)
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		go serveConn(ctx, conn, h)
+	}
+}
+
+func serveConn(ctx context.Context, conn net.Conn, h Handler) {
+	defer conn.Close()
+	var mu sync.Mutex
+	slots := make(chan struct{}, maxInFlight)
+	r := bufio.NewReader(conn)
+	for {
+		conn.SetReadDeadline(time.Now().Add(2 * time.Minute))
+		var req Request
+		if err := read(r, &req); err != nil {
+			return
+		}
+		slots <- struct{}{}
+		go func() {
+			defer func() { <-slots }()
+			resp := &Response{Seq: req.Seq, Unable: true}
+			if q := req.GetJob(); q != nil {
+				if st, err := h(ctx, q.Id); err == nil {
+					resp.Unable, resp.Job = false, st
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			conn.SetWriteDeadline(time.Now().Add(2 * time.Second))
+			if write(conn, resp) != nil {
+				conn.Close()
+			}
+		}()
+	}
+}
+
+func read(r io.Reader, m proto.Message) error {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > maxMessage {
+		return fmt.Errorf("peer: message of %d bytes", n)
+	}
+	buf := make([]byte, n)
+	if _, err := io.ReadFull(r, buf); err != nil {
+		return err
+	}
+	return proto.Unmarshal(buf, m)
+}
+
+func write(w io.Writer, m proto.Message) error {
+	raw, err := proto.Marshal(m)
+	if err != nil {
+		return err
+	}
+	buf := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(raw)), uint32(len(raw)))
+	_, err = w.Write(append(buf, raw...))
+	return err
+}
+
+// Client asks one peer. It keeps one connection, made when first needed.
+type Client struct {
+	addr string
+
+	mu      sync.Mutex
+	conn    net.Conn
+	seq     uint64
+	waiting map[uint64]chan *Response
+	dialing bool
+	downTil time.Time
+}
+
+// NewClient makes a client of the peer at an address.
+func NewClient(addr string) *Client {
+	return &Client{addr: addr, waiting: map[uint64]chan *Response{}}
+}
+
+// Job asks the peer about a job.
+func (c *Client) Job(ctx context.Context, id string) (*JobStatus, error) {
+	ch := make(chan *Response, 1)
+	conn, seq, err := c.register(ctx, ch)
+	if err != nil {
+		return nil, err
+	}
+	defer c.unregister(seq)
+	c.mu.Lock()
+	conn.SetWriteDeadline(time.Now().Add(time.Second))
+	err = write(conn, &Request{Seq: seq, Kind: &Request_Job{Job: &JobQuery{Id: id}}})
+	c.mu.Unlock()
+	if err != nil {
+		c.drop(conn)
+		return nil, fmt.Errorf("peer: %w", err)
+	}
+	select {
+	case resp := <-ch:
+		if resp == nil {
+			return nil, errors.New("peer: connection lost")
+		}
+		if resp.Unable || resp.Job == nil {
+			return nil, ErrUnable
+		}
+		return resp.Job, nil
+	case <-ctx.Done():
+		// A peer that has stopped answering is passed over for a while, so
+		// that users do not wait for it one after the other.
+		c.mu.Lock()
+		c.downTil = time.Now().Add(time.Second)
+		c.mu.Unlock()
+		c.drop(conn)
+		return nil, fmt.Errorf("peer: %w", ctx.Err())
+	}
+}
+
+func (c *Client) register(ctx context.Context, ch chan *Response) (net.Conn, uint64, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Now().Before(c.downTil) || c.dialing {
+		return nil, 0, errors.New("peer: not reachable just now")
+	}
+	if c.conn == nil {
+		c.dialing = true
+		c.mu.Unlock()
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", c.addr)
+		c.mu.Lock()
+		c.dialing = false
+		if err != nil {
+			c.downTil = time.Now().Add(500 * time.Millisecond)
+			return nil, 0, fmt.Errorf("peer: %w", err)
+		}
+		c.conn = conn
+		go c.receive(conn)
+	}
+	c.seq++
+	c.waiting[c.seq] = ch
+	return c.conn, c.seq, nil
+}
+
+func (c *Client) unregister(seq uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.waiting, seq)
+}
+
+func (c *Client) receive(conn net.Conn) {
+	r := bufio.NewReader(conn)
+	for {
+		var resp Response
+		if err := read(r, &resp); err != nil {
+			c.drop(conn)
+			return
+		}
+		c.mu.Lock()
+		ch := c.waiting[resp.Seq]
+		delete(c.waiting, resp.Seq)
+		c.mu.Unlock()
+		if ch != nil {
+			ch <- &resp
+		}
+	}
+}
+
+// drop gives a connection up, with all that waits on it.
+func (c *Client) drop(conn net.Conn) {
+	conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != conn {
+		return
+	}
+	c.conn = nil
+	for seq, ch := range c.waiting {
+		delete(c.waiting, seq)
+		close(ch)
+	}
+}
--- /dev/null
+++ b/internal/policy/defaults.star
@@ -0,0 +1,22 @@
+# The embedded defaults. An operators' script sets any of these names anew.
+
+# Shares by which the teams' queues are served in turn. A team that is not
+# named has its guarantee as its share.
+team_shares = {}
+
+# Whether spot machines are rented for jobs that allow them.
+use_spot = True
+
+# Part of the demand that is kept free on top of it.
+headroom = 0.1
+
+# CPUs that are kept rented even when nothing waits.
+min_cpus = 0.0
+
+# How long, in seconds, a machine stays empty before it is given back.
+idle_return_s = 30.0
+
+# How long, in seconds, the leader's lease lasts without renewal: an outage of
+# the state service up to this long does not end the leadership, and a leader
+# that never comes back is replaced after it.
+leader_lease_s = 30.0
--- /dev/null
+++ b/internal/policy/policy.go
@@ -0,0 +1,139 @@
+// Package policy holds the operators' own settings, written in Starlark. A
+// script is run once, at start, with bounded steps and without any access to
+// the outside; whatever it sets is checked before anything is applied.
+package policy
+
+import (
+	_ "embed"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"sort"
+	"time"
+
+	"go.starlark.net/starlark"
+	"go.starlark.net/syntax"
+)
+
+//go:embed defaults.star
+var defaults string
+
+// Policy is what operators may choose. None of it can loosen a rule.
+type Policy struct {
+	Shares      map[string]float64
+	UseSpot     bool
+	Headroom    float64
+	MinCPUs     float64
+	IdleReturn  time.Duration
+	LeaderLease time.Duration
+}
+
+// Share is a team's share, or the fallback if the operators name none.
+func (p *Policy) Share(team string, fallback float64) float64 {
+	if s, ok := p.Shares[team]; ok {
+		return s
+	}
+	return fallback
+}
+
+// maxSteps bounds the work of a script.
+const maxSteps = 1_000_000
+
+// Load reads the operators' script; an empty path means the defaults alone.
+func Load(path string) (*Policy, error) {
+	if path == "" {
+		return Parse("defaults.star", "")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("policy: %w", err)
+	}
+	return Parse(path, string(raw))
+}
+
+// Parse runs a script over the defaults and checks the result.
+func Parse(name, script string) (*Policy, error) {
+	values, err := run("defaults.star", defaults, nil)
+	if err != nil {
+		return nil, err
+	}
+	known := values.Keys()
+	if script != "" {
+		own, err := run(name, script, values)
+		if err != nil {
+			return nil, err
+		}
+		for _, k := range own.Keys() {
+			if _, ok := own[k].(starlark.Callable); ok || k[0] == '_' {
+				continue // the script's own helpers
+			}
+			if _, ok := values[k]; !ok {
+				sort.Strings(known)
+				return nil, fmt.Errorf("policy %s: unknown setting %s (known: %v)", name, k, known)
+			}
+			values[k] = own[k]
+		}
+	}
+	return check(name, values)
+}
+
+func run(name, script string, predeclared starlark.StringDict) (starlark.StringDict, error) {
+	thread := &starlark.Thread{Name: name, Print: func(*starlark.Thread, string) {}}
+	thread.SetMaxExecutionSteps(maxSteps)
+	env := starlark.StringDict{}
+	for k, v := range predeclared {
+		env["default_"+k] = v
+	}
+	out, err := starlark.ExecFileOptions(&syntax.FileOptions{TopLevelControl: true}, thread, name, script, env)
+	if err != nil {
+		var eval *starlark.EvalError
+		if errors.As(err, &eval) && len(eval.CallStack) > 0 {
+			return nil, fmt.Errorf("policy %s: %w", eval.CallStack.At(0).Pos, err)
+		}
+		return nil, fmt.Errorf("policy: %w", err)
+	}
+	return out, nil
+}
+
+func check(name string, v starlark.StringDict) (*Policy, error) {
+	p := &Policy{Shares: map[string]float64{}}
+	fail := func(key, want string) (*Policy, error) {
+		return nil, fmt.Errorf("policy %s: %s must be %s, found %s", name, key, want, v[key])
+	}
+	spot, ok := v["use_spot"].(starlark.Bool)
+	if !ok {
+		return fail("use_spot", "True or False")
+	}
+	p.UseSpot = bool(spot)
+	var idle, lease float64
+	for _, f := range []struct {
+		key    string
+		to     *float64
+		lo, hi float64
+	}{
+		{"headroom", &p.Headroom, 0, 10}, {"min_cpus", &p.MinCPUs, 0, 1e6},
+		{"idle_return_s", &idle, 0, 86400}, {"leader_lease_s", &lease, 2, 600},
+	} {
+		x, ok := starlark.AsFloat(v[f.key])
+		if !ok || math.IsNaN(x) || x < f.lo || x > f.hi {
+			return fail(f.key, fmt.Sprintf("a number from %v to %v", f.lo, f.hi))
+		}
+		*f.to = x
+	}
+	p.IdleReturn = time.Duration(idle * float64(time.Second))
+	p.LeaderLease = time.Duration(lease * float64(time.Second))
+	shares, ok := v["team_shares"].(*starlark.Dict)
+	if !ok {
+		return fail("team_shares", "a dict of team names and shares")
+	}
+	for _, item := range shares.Items() {
+		team, ok := starlark.AsString(item[0])
+		x, isNum := starlark.AsFloat(item[1])
+		if !ok || !isNum || !(x > 0) || math.IsInf(x, 0) {
+			return fail("team_shares", "a dict of team names and shares above 0")
+		}
+		p.Shares[team] = x
+	}
+	return p, nil
+}
--- /dev/null
+++ b/internal/queue/queue.go
@@ -0,0 +1,83 @@
+// Package queue orders what waits: a queue for each team, served in turn by
+// shares. It is pure.
+package queue
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Item is a job that waits.
+type Item interface {
+	// Rank is the job's priority, the highest first.
+	Rank() int
+	// Latest is the latest time to begin and still be in time.
+	Latest() time.Time
+	ID() string
+}
+
+// Team is the queue of one team, with its use of the cluster.
+type Team[T Item] struct {
+	Name  string
+	Share float64
+	// CPUs and GPUs are guaranteed; CPUsMax and GPUsMax are the limit.
+	CPUs, CPUsMax float64
+	GPUs, GPUsMax float64
+	// UsedCPUs and UsedGPUs count every task that may be on a machine.
+	UsedCPUs, UsedGPUs float64
+
+	items  []T
+	sorted bool
+}
+
+// Add puts a job into the queue.
+func (t *Team[T]) Add(item T) { t.items = append(t.items, item); t.sorted = false }
+
+// Remove takes a job out of the queue.
+func (t *Team[T]) Remove(item T) {
+	t.items = slices.DeleteFunc(t.items, func(o T) bool { return o.ID() == item.ID() })
+}
+
+// Items are the jobs in the order in which they are served.
+func (t *Team[T]) Items() []T {
+	if !t.sorted {
+		slices.SortFunc(t.items, func(a, b T) int {
+			return cmp.Or(cmp.Compare(a.Rank(), b.Rank()), a.Latest().Compare(b.Latest()), cmp.Compare(a.ID(), b.ID()))
+		})
+		t.sorted = true
+	}
+	return t.items
+}
+
+// Resort makes the next look at the queue put it in order again.
+func (t *Team[T]) Resort() { t.sorted = false }
+
+const slack = 1e-6
+
+// Guaranteed tells whether a task would be within the team's guarantee.
+func (t *Team[T]) Guaranteed(cpus, gpus float64) bool {
+	return t.UsedCPUs+cpus <= t.CPUs+slack && t.UsedGPUs+gpus <= t.GPUs+slack
+}
+
+// Allowed tells whether a task would be within the team's limit, when
+// uncertain amounts may be in use by any team besides.
+func (t *Team[T]) Allowed(cpus, gpus, uncertainCPUs, uncertainGPUs float64) bool {
+	return t.UsedCPUs+uncertainCPUs+cpus <= t.CPUsMax+slack &&
+		(gpus == 0 || t.UsedGPUs+uncertainGPUs+gpus <= t.GPUsMax+slack)
+}
+
+// Load is the team's use by its share.
+func (t *Team[T]) Load() float64 {
+	if t.Share <= 0 {
+		return t.UsedCPUs + t.UsedGPUs
+	}
+	return max(t.UsedCPUs, t.UsedGPUs) / t.Share
+}
+
+// Turns orders teams by whose turn it is.
+func Turns[T Item](teams []*Team[T]) {
+	slices.SortStableFunc(teams, func(a, b *Team[T]) int {
+		return cmp.Or(cmp.Compare(a.Load(), b.Load()), cmp.Compare(a.Name, b.Name))
+	})
+}
--- /dev/null
+++ b/internal/store/records.go
@@ -0,0 +1,208 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+)
+
+// Prefixes of the service's keys. Active and final jobs are apart, so that a
+// new leader reads only what still matters.
+const (
+	ActivePrefix   = "a/"
+	FinalPrefix    = "f/"
+	ProgressPrefix = "p/"
+	MachinePrefix  = "m/"
+	TypesKey       = "types"
+	// CancelKey changes in every transaction that cancels a job. It lies under
+	// ActivePrefix, so a watch shows it together with the jobs cancelled.
+	CancelKey = ActivePrefix + "!cancel"
+)
+
+// ActiveRecord is an accepted job that is not over. It never changes.
+type ActiveRecord struct {
+	Spec     api.JobSpec `json:"spec"`
+	Accepted time.Time   `json:"accepted"`
+}
+
+// FinalRecord is a job that is over.
+type FinalRecord struct {
+	Phase string `json:"phase"`
+	Tasks int    `json:"tasks"`
+}
+
+// ProgressRecord holds the done tasks of a part of a job as a bit set.
+type ProgressRecord struct {
+	Done []byte `json:"done"`
+}
+
+// MachineRecord is a machine that may hold tasks.
+type MachineRecord struct {
+	Type     string  `json:"type"`
+	Zone     string  `json:"zone"`
+	Spot     bool    `json:"spot"`
+	CPUs     float64 `json:"cpus"`
+	GPUs     float64 `json:"gpus"`
+	MemoryGB float64 `json:"memory_gb"`
+}
+
+// ProgressKey is the key of the part of a job's progress that begins at task.
+func ProgressKey(id string, task int) string {
+	return ProgressPrefix + id + "/" + strconv.Itoa(task)
+}
+
+// ParseProgressKey is the reverse of ProgressKey.
+func ParseProgressKey(key string) (id string, task int, ok bool) {
+	id, first, ok := strings.Cut(strings.TrimPrefix(key, ProgressPrefix), "/")
+	if !ok {
+		return "", 0, false
+	}
+	task, err := strconv.Atoi(first)
+	return id, task, err == nil && task >= 0
+}
+
+// FinalState is what a user is told of a job that is over.
+func (f FinalRecord) FinalState(id string) api.JobState {
+	st := api.JobState{ID: id, Phase: f.Phase}
+	if f.Phase == api.JobDone {
+		st.Done = f.Tasks
+	}
+	return st
+}
+
+// Records accepts, cancels and looks up jobs. Every node may do so, whoever
+// leads: each change is one guarded transaction.
+type Records struct {
+	Store Service
+}
+
+// tryTimeout bounds one request to the service on a user's behalf.
+const tryTimeout = 800 * time.Millisecond
+
+// Accept makes a job's record. A job known already keeps its state, which is
+// returned with created false.
+func (r *Records) Accept(ctx context.Context, spec *api.JobSpec, now time.Time) (st api.JobState, created bool, err error) {
+	txn := Txn{
+		Guards: []Guard{{ActivePrefix + spec.ID, 0}, {FinalPrefix + spec.ID, 0}},
+		Ops:    []Op{{Put: ActivePrefix + spec.ID, Value: ActiveRecord{Spec: *spec, Accepted: now.UTC()}}},
+	}
+	err = retry(ctx, func(ctx context.Context) error {
+		res, err := r.Store.Txn(ctx, txn)
+		if err != nil {
+			return err
+		}
+		if res.OK {
+			st, created = api.JobState{ID: spec.ID, Phase: api.JobPending}, true
+			return nil
+		}
+		// Known already; perhaps by this very transaction, whose answer
+		// was lost.
+		var found bool
+		st, found, err = r.lookup(ctx, spec.ID)
+		if err == nil && !found {
+			err = fmt.Errorf("%w: job %s changed meanwhile", ErrUnknown, spec.ID)
+		}
+		return err
+	})
+	return st, created, err
+}
+
+// Lookup reads a job's record. A job that is active is told as pending, since
+// the record does not hold what runs.
+func (r *Records) Lookup(ctx context.Context, id string) (st api.JobState, found bool, err error) {
+	err = retry(ctx, func(ctx context.Context) error {
+		st, found, err = r.lookup(ctx, id)
+		return err
+	})
+	return st, found, err
+}
+
+// lookup reads the active record before the final one: a job that moves
+// between the two reads is then seen at least once.
+func (r *Records) lookup(ctx context.Context, id string) (api.JobState, bool, error) {
+	e, err := r.Store.Get(ctx, ActivePrefix+id)
+	if err != nil {
+		return api.JobState{}, false, err
+	}
+	if e.Mark != 0 {
+		return api.JobState{ID: id, Phase: api.JobPending}, true, nil
+	}
+	return r.Final(ctx, id)
+}
+
+// Final reads a job's final record.
+func (r *Records) Final(ctx context.Context, id string) (api.JobState, bool, error) {
+	e, err := r.Store.Get(ctx, FinalPrefix+id)
+	if err != nil || e.Mark == 0 {
+		return api.JobState{}, false, err
+	}
+	var f FinalRecord
+	if err := json.Unmarshal(e.Value, &f); err != nil {
+		return api.JobState{}, false, fmt.Errorf("record %s: %w", e.Key, err)
+	}
+	return f.FinalState(id), true, nil
+}
+
+// Cancel ends a job unless it is over. It returns the job's final state.
+func (r *Records) Cancel(ctx context.Context, id string) (st api.JobState, found bool, err error) {
+	err = retry(ctx, func(ctx context.Context) error {
+		e, err := r.Store.Get(ctx, ActivePrefix+id)
+		if err != nil {
+			return err
+		}
+		if e.Mark == 0 {
+			st, found, err = r.Final(ctx, id)
+			return err
+		}
+		var rec ActiveRecord
+		if err := json.Unmarshal(e.Value, &rec); err != nil {
+			return fmt.Errorf("record %s: %w", e.Key, err)
+		}
+		final := FinalRecord{Phase: api.JobWithdrawn, Tasks: rec.Spec.Tasks}
+		res, err := r.Store.Txn(ctx, Txn{
+			Guards: []Guard{{e.Key, e.Mark}},
+			Ops: []Op{
+				{Put: FinalPrefix + id, Value: final},
+				{Delete: e.Key},
+				{Put: CancelKey, Value: id},
+			},
+		})
+		if err != nil {
+			return err
+		}
+		if !res.OK {
+			return fmt.Errorf("%w: job %s changed meanwhile", ErrUnknown, id)
+		}
+		st, found = final.FinalState(id), true
+		return nil
+	})
+	return st, found, err
+}
+
+// retry repeats a request that failed until the context ends.
+func retry(ctx context.Context, f func(ctx context.Context) error) error {
+	wait := 40 * time.Millisecond
+	for {
+		tctx, cancel := context.WithTimeout(ctx, tryTimeout)
+		err := f(tctx)
+		cancel()
+		if err == nil || !(errors.Is(err, ErrRefused) || errors.Is(err, ErrUnknown)) {
+			return err
+		}
+		t := time.NewTimer(wait + rand.N(wait))
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return err
+		case <-t.C:
+		}
+		wait = min(2*wait, 400*time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,276 @@
+// Package store is the client of the state service. One client owns the
+// process's share of the service's request and write budgets.
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"example.org/ivytrestle/internal/config"
+)
+
+// ErrRefused means that the service did not carry the request out.
+var ErrRefused = errors.New("state service: not carried out")
+
+// ErrUnknown means that the request may have been, or may yet be, carried out.
+var ErrUnknown = errors.New("state service: outcome unknown")
+
+// ErrNoLease means that the lease has ended.
+var ErrNoLease = errors.New("state service: no such lease")
+
+// ErrCompacted means that a watch began too far back.
+var ErrCompacted = errors.New("state service: changes no longer kept")
+
+// Entry is a key with its value.
+type Entry struct {
+	Key   string          `json:"Path"`
+	Value json.RawMessage `json:"Value"`
+	Mark  uint64          `json:"Mark"`
+	Lease uint64          `json:"Tenure"`
+}
+
+// Guard requires a key to have a version; 0 requires that it does not exist.
+type Guard struct {
+	Key  string `json:"Path"`
+	Mark uint64 `json:"Mark"`
+}
+
+// Op is a put or a delete.
+type Op struct {
+	Put    string `json:"Put,omitempty"`
+	Value  any    `json:"Value,omitempty"`
+	Lease  uint64 `json:"Tenure,omitempty"`
+	Delete string `json:"Drop,omitempty"`
+}
+
+// Txn is an atomic transaction.
+type Txn struct {
+	Guards []Guard `json:"Guards"`
+	Ops    []Op    `json:"Apply,omitempty"`
+}
+
+// Result tells how a transaction ended.
+type Result struct {
+	OK     bool
+	Ring   uint64
+	Failed []string
+}
+
+// Page is a part of a range of keys.
+type Page struct {
+	Rows []Entry `json:"Rows"`
+	More bool    `json:"Truncated"`
+	Ring uint64  `json:"Ring"`
+}
+
+// Event is a change seen by a watch.
+type Event struct {
+	Put    string          `json:"Put"`
+	Value  json.RawMessage `json:"Value"`
+	Delete string          `json:"Drop"`
+	Mark   uint64          `json:"Mark"`
+}
+
+// Changes is what a watch returns.
+type Changes struct {
+	Ring   uint64  `json:"Ring"`
+	Events []Event `json:"Events"`
+}
+
+// Service is the state service as the rest of the program sees it.
+type Service interface {
+	// Get reads one key. An entry with Mark 0 does not exist.
+	Get(ctx context.Context, key string) (Entry, error)
+	Range(ctx context.Context, prefix, from string, most int) (Page, error)
+	Txn(ctx context.Context, txn Txn) (Result, error)
+	Grant(ctx context.Context, life time.Duration) (uint64, error)
+	Extend(ctx context.Context, lease uint64) error
+	Watch(ctx context.Context, prefix string, from uint64, block time.Duration) (Changes, error)
+}
+
+// maxAnswer bounds what is read of an answer. A range holds at most 512 KiB;
+// a watch has no limit of its own, but is asked again long before this.
+const maxAnswer = 16 << 20
+
+// Client speaks to the state service over HTTP.
+type Client struct {
+	base     string
+	http     *http.Client
+	watches  *http.Client
+	requests *rate.Limiter
+	writes   *rate.Limiter
+}
+
+// nodeShare is the part of the service's budget that one node may use. The
+// limits are the service's, shared by all nodes; the leader needs most.
+const nodeShare = 0.45
+
+// NewClient makes the client of a state service.
+func NewClient(addr string, lim config.StateLimits) *Client {
+	transport := func(conns int) *http.Client {
+		return &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+			MaxConnsPerHost:     conns,
+			MaxIdleConnsPerHost: conns,
+			IdleConnTimeout:     2 * time.Minute,
+			DisableCompression:  true,
+		}}
+	}
+	rps, wps := lim.RPS*nodeShare, lim.WriteRPS*nodeShare
+	return &Client{
+		base: "http://" + addr, http: transport(12), watches: transport(4),
+		requests: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
+		writes:   rate.NewLimiter(rate.Limit(wps), max(lim.TxnOps, int(wps))),
+	}
+}
+
+// Get reads one key.
+func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
+	var e Entry
+	status, err := c.call(ctx, c.http, http.MethodGet, "/kv/"+key, nil, &e)
+	if err != nil {
+		return Entry{}, err
+	}
+	if status == http.StatusNotFound {
+		return Entry{Key: key}, nil
+	}
+	return e, expect(status, http.StatusOK)
+}
+
+// Range reads the keys with a prefix, beginning after from.
+func (c *Client) Range(ctx context.Context, prefix, from string, most int) (Page, error) {
+	q := url.Values{"Prefix": {prefix}, "Most": {strconv.Itoa(most)}}
+	if from != "" {
+		q.Set("From", from)
+	}
+	var p Page
+	status, err := c.call(ctx, c.http, http.MethodGet, "/kv?"+q.Encode(), nil, &p)
+	if err != nil {
+		return Page{}, err
+	}
+	return p, expect(status, http.StatusOK)
+}
+
+// Txn carries out a transaction.
+func (c *Client) Txn(ctx context.Context, txn Txn) (Result, error) {
+	if n := len(txn.Ops); n > 0 {
+		if err := c.writes.WaitN(ctx, n); err != nil {
+			return Result{}, fmt.Errorf("%w: write budget: %w", ErrRefused, err)
+		}
+	}
+	if txn.Guards == nil {
+		txn.Guards = []Guard{}
+	}
+	var body struct {
+		Ring   uint64   `json:"Ring"`
+		Failed []string `json:"failed"`
+		Error  string   `json:"error"`
+	}
+	status, err := c.call(ctx, c.http, http.MethodPost, "/txn", txn, &body)
+	if err != nil {
+		return Result{}, err
+	}
+	switch {
+	case status == http.StatusConflict:
+		return Result{Ring: body.Ring, Failed: body.Failed}, nil
+	case status == http.StatusBadRequest && body.Error == "no such lease":
+		return Result{}, ErrNoLease
+	}
+	return Result{OK: true, Ring: body.Ring}, expect(status, http.StatusOK)
+}
+
+// Grant makes a lease.
+func (c *Client) Grant(ctx context.Context, life time.Duration) (uint64, error) {
+	var body struct {
+		Lease uint64 `json:"Tenure"`
+	}
+	req := map[string]int64{"LifeMs": life.Milliseconds()}
+	status, err := c.call(ctx, c.http, http.MethodPost, "/leases", req, &body)
+	if err != nil {
+		return 0, err
+	}
+	return body.Lease, expect(status, http.StatusOK)
+}
+
+// Extend renews a lease.
+func (c *Client) Extend(ctx context.Context, lease uint64) error {
+	path := "/leases/" + strconv.FormatUint(lease, 10) + "/extend"
+	status, err := c.call(ctx, c.http, http.MethodPost, path, nil, nil)
+	if err != nil {
+		return err
+	}
+	if status == http.StatusNotFound {
+		return ErrNoLease
+	}
+	return expect(status, http.StatusOK)
+}
+
+// Watch waits for changes after a revision.
+func (c *Client) Watch(ctx context.Context, prefix string, from uint64, block time.Duration) (Changes, error) {
+	q := url.Values{"Prefix": {prefix}, "From": {strconv.FormatUint(from, 10)},
+		"BlockMs": {strconv.FormatInt(block.Milliseconds(), 10)}}
+	var ch Changes
+	status, err := c.call(ctx, c.watches, http.MethodGet, "/watch?"+q.Encode(), nil, &ch)
+	if err != nil {
+		return Changes{}, err
+	}
+	if status == http.StatusGone {
+		return Changes{}, ErrCompacted
+	}
+	return ch, expect(status, http.StatusOK)
+}
+
+func expect(status, want int) error {
+	switch status {
+	case want:
+		return nil
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return fmt.Errorf("%w: status %d", ErrRefused, status)
+	}
+	return fmt.Errorf("%w: unexpected status %d", ErrUnknown, status)
+}
+
+// call sends one request within the budget and decodes the answer.
+func (c *Client) call(ctx context.Context, hc *http.Client, method, path string, in, out any) (int, error) {
+	if err := c.requests.Wait(ctx); err != nil {
+		return 0, fmt.Errorf("%w: request budget: %w", ErrRefused, err)
+	}
+	var body io.Reader
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return 0, fmt.Errorf("state service: encode: %w", err)
+		}
+		body = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return 0, fmt.Errorf("state service: %w", err)
+	}
+	resp, err := hc.Do(req)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	if out != nil && len(raw) > 0 && resp.StatusCode < 500 {
+		if err := json.Unmarshal(raw, out); err != nil {
+			return 0, fmt.Errorf("%w: malformed answer: %w", ErrUnknown, err)
+		}
+	}
+	return resp.StatusCode, nil
+}
