--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,45 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+const good = `{"node":"n0","site":"a","api_addr":"10.0.0.1:80","peer_listen":"10.0.0.1:81","new_field":1,
+"peers":[{"node":"n1","site":"a","addr":"10.0.0.2:81"}],
+"outside":{"cloud":"10.2.0.2:8443","state":"10.2.0.1:2379"},
+"settings":{"nodes":2,"zones":["a"],"teams":[{"name":"t","cpus":1,"cpus_max":2}],
+"workers":{"report_s":3,"lease_s":24,"cancel_s":49},
+"state":{"rps":80,"write_rps":25,"value_kb":16,"txn_ops":20},"cloud":{"rps":5,"list_lag_s":8},
+"limits":{"cores":0.06,"ram_mb":98,"fd_limit":800},"clock_off_ms":250}}`
+
+func TestGoodSettings(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil || s.Site.Workers.Lease().Seconds() != 24 || s.Peers[0].Addr != "10.0.0.2:81" {
+		t.Errorf("%+v, %v", s, err)
+	}
+}
+
+func TestBadSettingsNameTheField(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`{"node"`, `"node"`, "not valid JSON"},
+		{`"n0"`, `""`, "node"},
+		{`"10.0.0.1:80"`, `"10.0.0.1"`, "api_addr"},
+		{`"10.2.0.1:2379"`, `""`, "outside.state"},
+		{`"n1"`, `"n0"`, "peers[0].node"},
+		{`"cpus":1`, `"cpus":3`, "teams[0]"},
+		{`"cpus":1`, `"cpus":"many"`, "cpus"},
+		{`"lease_s":24`, `"lease_s":2`, "lease_s"},
+		{`"write_rps":25`, `"write_rps":0`, "write_rps"},
+		{`"txn_ops":20`, `"txn_ops":2`, "txn_ops"},
+		{`[{"name":"t","cpus":1,"cpus_max":2}]`, `[]`, "teams"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", c.new, err)
+		}
+	}
+	if _, err := Load("no/such/file"); err == nil || !strings.Contains(err.Error(), "no/such/file") {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/controller/harness_test.go
@@ -0,0 +1,252 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/cloud"
+	"example.org/ivytrestle/internal/config"
+	"example.org/ivytrestle/internal/election"
+	"example.org/ivytrestle/internal/policy"
+	"example.org/ivytrestle/internal/store/storetest"
+)
+
+// fakeCloud rents nothing by itself; tests script what it answers.
+type fakeCloud struct {
+	mu       sync.Mutex
+	types    []api.MachineType
+	rentals  []cloud.Rental
+	returned []string
+	hosts    []cloud.Machine
+	// capacity is how many machines each rental gets.
+	capacity    int
+	loseRent    bool
+	refuseTurns bool
+	made        map[string][]string
+}
+
+func (f *fakeCloud) Types(context.Context) ([]api.MachineType, error) { return f.types, nil }
+
+func (f *fakeCloud) Rent(_ context.Context, r cloud.Rental) ([]string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rentals = append(f.rentals, r)
+	if f.capacity == 0 {
+		return nil, cloud.ErrNoCapacity
+	}
+	if f.made[r.Name] == nil {
+		for range min(r.Count, f.capacity) {
+			f.made[r.Name] = append(f.made[r.Name], fmt.Sprintf("i-9%05d", len(f.made)*100+len(f.made[r.Name])))
+		}
+	}
+	if f.loseRent {
+		f.loseRent = false
+		return nil, errors.New("no answer")
+	}
+	return f.made[r.Name], nil
+}
+
+func (f *fakeCloud) Return(_ context.Context, names []string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refuseTurns {
+		return errors.New("trouble")
+	}
+	f.returned = append(f.returned, names...)
+	return nil
+}
+
+func (f *fakeCloud) List(context.Context) ([]cloud.Machine, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.hosts), nil
+}
+
+func (f *fakeCloud) gone(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Contains(f.returned, name)
+}
+
+// world is a deployment of scripted peers on a fake clock.
+type world struct {
+	t     *testing.T
+	store *storetest.Fake
+	cloud *fakeCloud
+	teams []config.Team
+}
+
+func newWorld(t *testing.T) *world {
+	return &world{t: t, store: storetest.New(),
+		cloud: &fakeCloud{types: []api.MachineType{{Name: "small", CPUs: 4, MemoryGB: 16, Price: 1, SpotPrice: 0.4,
+			BootS: 20, Zones: []string{"a", "b"}}}, made: map[string][]string{}},
+		teams: []config.Team{{Name: "red", CPUs: 8, CPUsMax: 16}, {Name: "blue", CPUs: 8, CPUsMax: 8}}}
+}
+
+// node is a controller that can be crashed.
+type node struct {
+	*Controller
+	crash context.CancelFunc
+}
+
+func (w *world) start(name string) *node {
+	return w.startWith(name, w.store, nil)
+}
+
+func (w *world) startWith(name string, st *storetest.Fake, peers PeerAsker) *node {
+	w.t.Helper()
+	pol, err := policy.Parse("", "")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	pol.IdleReturn = time.Hour
+	s := &config.Settings{Node: name, Site: config.SiteInfo{Teams: w.teams,
+		Objectives: []config.Objective{{Kind: "finished", Class: "c", WithinS: 90}},
+		Workers:    config.Workers{ReportS: 1, LeaseS: 10, CancelS: 30},
+		State:      config.StateLimits{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
+		Cloud:      config.CloudLimits{RPS: 5, ListLagS: 4}}}
+	log := slog.New(slog.DiscardHandler)
+	c := New(Config{Settings: s, Policy: pol, Store: st, Cloud: w.cloud, Peers: peers, Log: log})
+	ctx, cancel := context.WithCancel(context.Background())
+	cand := &election.Candidate{Node: name, Incarnation: fmt.Sprint(time.Now().UnixNano()), Store: st,
+		Lease: pol.LeaderLease, Renew: 3 * time.Second, Observer: c, Log: log, Depose: c.Depose()}
+	go c.Run(ctx)
+	go cand.Run(ctx)
+	w.t.Cleanup(cancel)
+	time.Sleep(500 * time.Millisecond)
+	return &node{c, cancel}
+}
+
+// run plays a test on the fake clock, and ends what it started.
+func play(t *testing.T, f func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { f(newWorld(t)) })
+}
+
+func spec(id string, tasks int) *api.JobSpec {
+	return &api.JobSpec{ID: id, Class: "c", Team: "red", Shape: "array", Priority: "low", Tasks: tasks,
+		CPUs: 1, MemoryGB: 1, Image: "img", EstimateS: 30, Spot: true}
+}
+
+func (w *world) submit(n *node, s *api.JobSpec) {
+	w.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if _, _, err := n.Submit(ctx, s); err != nil {
+		w.t.Fatalf("submit %s: %v", s.ID, err)
+	}
+	time.Sleep(200 * time.Millisecond)
+}
+
+// phase is what a node tells a user of a job.
+func (w *world) phase(n *node, id string) string {
+	w.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+	defer cancel()
+	st, err := n.Job(ctx, id)
+	if err != nil {
+		return err.Error()
+	}
+	return st.Phase
+}
+
+// worker is a scripted machine.
+type worker struct {
+	w    *world
+	rep  api.Report
+	mute bool
+}
+
+func (w *world) worker(name, zone string, spot bool) *worker {
+	return &worker{w: w, rep: api.Report{Machine: name, Type: "small", Zone: zone, Spot: spot, Session: 1}}
+}
+
+// report sends a report and carries the orders out, as a worker does.
+func (k *worker) report(n *node) []api.Order {
+	orders, err := k.send(n)
+	if err != nil {
+		return nil
+	}
+	k.obey(orders)
+	return orders
+}
+
+// send sends a report; its orders are lost unless obeyed.
+func (k *worker) send(n *node) ([]api.Order, error) {
+	k.rep.Seq++
+	rep := k.rep
+	rep.Tasks = slices.Clone(k.rep.Tasks)
+	return k.deliver(n, &rep)
+}
+
+func (k *worker) deliver(n *node, rep *api.Report) ([]api.Order, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	ans, err := n.Report(ctx, rep)
+	if err == nil && ans.Term >= k.rep.Term {
+		k.rep.Term = ans.Term
+		return ans.Orders, nil
+	}
+	return nil, errors.Join(err, errors.New("dropped"))
+}
+
+func (k *worker) obey(orders []api.Order) {
+	for _, o := range orders {
+		i := slices.IndexFunc(k.rep.Tasks, func(t api.TaskReport) bool { return t.Task == o.Task && t.Attempt == o.Attempt })
+		switch {
+		case o.Verb == api.VerbStart && i < 0:
+			k.rep.Tasks = append(k.rep.Tasks, api.TaskReport{Task: o.Task, Attempt: o.Attempt, Phase: api.TaskRunning})
+		case o.Verb == api.VerbStop && i >= 0:
+			k.rep.Tasks[i].Phase, k.rep.Tasks[i].Cause = api.TaskExited, api.CauseHalted
+		case o.Verb == api.VerbReap && i >= 0:
+			k.rep.Tasks = slices.Delete(k.rep.Tasks, i, i+1)
+		}
+	}
+}
+
+// serve reports once a second for some seconds.
+func (k *worker) serve(n *node, seconds int) {
+	for range seconds {
+		k.report(n)
+		time.Sleep(time.Second)
+	}
+}
+
+// exit ends every running task with a cause.
+func (k *worker) exit(cause string) {
+	for i := range k.rep.Tasks {
+		if k.rep.Tasks[i].Phase == api.TaskRunning {
+			k.rep.Tasks[i].Phase, k.rep.Tasks[i].Cause = api.TaskExited, cause
+		}
+	}
+}
+
+// running lists the tasks on the machine.
+func (k *worker) running() []string {
+	var out []string
+	for _, t := range k.rep.Tasks {
+		if t.Phase != api.TaskExited {
+			out = append(out, t.Task)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (w *world) same(what string, got, want any) {
+	w.t.Helper()
+	g, _ := json.Marshal(got)
+	e, _ := json.Marshal(want)
+	if string(g) != string(e) {
+		w.t.Errorf("%s: got %s, want %s", what, g, e)
+	}
+}
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -52,6 +52,7 @@
 	recorder recorder
 	renter   renter
 	nextScan time.Time
+	lastTick time.Time
 }
 
 type expected struct {
@@ -402,6 +403,9 @@
 	if !r.loaded || !r.c.valid() {
 		return
 	}
+	if r.deaf(now) {
+		return
+	}
 	r.recorder.flush(now)
 	if now.Before(r.nextScan) {
 		return
@@ -415,6 +419,23 @@
 	r.renter.tick(now)
 }
 
+// deaf notices that this node could not hear its machines for a while: it may
+// not have been entitled to answer them, or it was held up itself. None of them
+// is silent on that account, or the first thing after an outage of the state
+// service would be to give the whole fleet back.
+func (r *reign) deaf(now time.Time) bool {
+	gap := now.Sub(r.lastTick)
+	first := r.lastTick.IsZero()
+	r.lastTick = now
+	if first || gap < 2*time.Second {
+		return false
+	}
+	for _, m := range r.machines {
+		m.lastSeen = now
+	}
+	return true
+}
+
 // scanMachines gives back the machines that are silent, bad or idle.
 func (r *reign) scanMachines(now time.Time) {
 	w := r.c.Settings.Site.Workers
--- a/internal/controller/renter.go
+++ b/internal/controller/renter.go
@@ -18,6 +18,7 @@
 	r        *reign
 	named    int
 	renting  int
+	asked    float64 // CPUs of rentals whose outcome is not known yet
 	blocked  map[fleet.Kind]time.Time
 	returns  []string
 	sending  bool
@@ -69,7 +70,7 @@
 			total += m.cpus
 		}
 	}
-	booting := 0.0
+	booting := f.asked
 	for _, e := range r.expected {
 		if !e.returning {
 			booting += e.cpus
@@ -84,6 +85,7 @@
 	for _, p := range fleet.Plan(lack, f.offers(now), cloud.MaxRent) {
 		f.named++
 		f.renting++
+		f.asked += float64(p.Count) * p.CPUs
 		req := cloud.Rental{Name: r.rentalName(f.named), Type: p.Type, Zone: p.Zone, Spot: p.Spot, Count: p.Count}
 		go r.hire(req, p.Offer)
 	}
@@ -145,6 +147,7 @@
 	}
 	now := time.Now()
 	r.renter.renting--
+	r.renter.asked -= float64(m.req.Count) * m.o.CPUs
 	if len(m.hosts) < m.req.Count {
 		r.renter.blocked[m.o.Kind()] = now.Add(blockedFor)
 	}
--- /dev/null
+++ b/internal/policy/policy_test.go
@@ -0,0 +1,43 @@
+package policy
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestDefaultsAndOverrides(t *testing.T) {
+	p, err := Parse("own.star", `
+def seconds(minutes):
+    return 60 * minutes
+idle_return_s = seconds(2)
+team_shares = {name: 2 for name in ["red", "blue"]}
+headroom = default_headroom + 1
+`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.IdleReturn != 2*time.Minute || p.Share("red", 1) != 2 || p.Share("green", 7) != 7 || p.Headroom < 1 || !p.UseSpot {
+		t.Errorf("%+v", p)
+	}
+}
+
+func TestBadScriptsAreRefused(t *testing.T) {
+	for _, c := range []struct{ script, want string }{
+		{"headrom = 1", "headrom"},
+		{"headroom = -1", "headroom must be"},
+		{"headroom = 'much'", "headroom must be"},
+		{"use_spot = 1", "use_spot must be"},
+		{"team_shares = {'red': 0}", "team_shares must be"},
+		{"team_shares = []", "team_shares must be"},
+		{"headroom = (", "own.star:1"},
+		{"x = 1\nheadroom = 1 // 0", "own.star:2"},
+		{"load('other.star', 'x')", "own.star:1"},
+		{"for i in range(100000000):\n    pass", "too many steps"},
+		{"leader_lease_s = 1", "leader_lease_s must be"},
+	} {
+		if p, err := Parse("own.star", c.script); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q: %v, %v", c.script, p, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/store/storetest/storetest.go
@@ -0,0 +1,286 @@
+// Package storetest is a stand-in for the state service that tests script:
+// it can refuse, lose answers, and carry transactions out late.
+package storetest
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"example.org/ivytrestle/internal/store"
+)
+
+type value struct {
+	raw   json.RawMessage
+	mark  uint64
+	lease uint64
+}
+
+type change struct {
+	store.Event
+	key string
+}
+
+// Fake is a state service in memory.
+type Fake struct {
+	mu      sync.Mutex
+	keys    map[string]value
+	ring    uint64
+	log     []change
+	changed chan struct{}
+	leases  map[uint64]*time.Timer
+	lives   map[uint64]time.Duration
+	last    uint64
+	down    bool
+	held    []store.Txn
+	// hold decides which transactions are kept back.
+	hold func(store.Txn) bool
+	// lose decides whose answers are lost after they are carried out.
+	lose func(store.Txn) bool
+	// blind keeps watches from seeing anything.
+	blind bool
+}
+
+// New makes an empty store.
+func New() *Fake {
+	return &Fake{keys: map[string]value{}, changed: make(chan struct{}), ring: 1,
+		leases: map[uint64]*time.Timer{}, lives: map[uint64]time.Duration{}}
+}
+
+// SetDown makes an outage begin or end. During an outage leases do not run;
+// after it they have their full time again.
+func (f *Fake) SetDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+	for id, t := range f.leases {
+		if t.Stop(); !down {
+			t.Reset(f.lives[id])
+		}
+	}
+}
+
+// SetBlind keeps watches from seeing changes until it is lifted.
+func (f *Fake) SetBlind(blind bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.blind = blind
+	f.wake()
+}
+
+// Hold keeps back the transactions that match; their callers get no answer.
+func (f *Fake) Hold(match func(store.Txn) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hold = match
+}
+
+// Lose carries matching transactions out but loses their answers.
+func (f *Fake) Lose(match func(store.Txn) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lose = match
+}
+
+// Release carries out what was held back, late, and tells the results.
+func (f *Fake) Release() []store.Result {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []store.Result
+	for _, txn := range f.held {
+		res, _ := f.apply(txn)
+		out = append(out, res)
+	}
+	f.held, f.hold = nil, nil
+	return out
+}
+
+// Held is the number of transactions kept back.
+func (f *Fake) Held() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.held)
+}
+
+// Has tells whether a key exists.
+func (f *Fake) Has(key string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, ok := f.keys[key]
+	return ok
+}
+
+func (f *Fake) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *Fake) refused() error {
+	if f.down {
+		return store.ErrRefused
+	}
+	return nil
+}
+
+// Get implements store.Service.
+func (f *Fake) Get(_ context.Context, key string) (store.Entry, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := f.keys[key]
+	return store.Entry{Key: key, Value: v.raw, Mark: v.mark, Lease: v.lease}, f.refused()
+}
+
+// Range implements store.Service.
+func (f *Fake) Range(_ context.Context, prefix, from string, most int) (store.Page, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := store.Page{Ring: f.ring}
+	for k, v := range f.keys {
+		if strings.HasPrefix(k, prefix) && k > from {
+			p.Rows = append(p.Rows, store.Entry{Key: k, Value: v.raw, Mark: v.mark})
+		}
+	}
+	slices.SortFunc(p.Rows, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
+	if len(p.Rows) > most {
+		p.Rows, p.More = p.Rows[:most], true
+	}
+	return p, f.refused()
+}
+
+// Txn implements store.Service.
+func (f *Fake) Txn(ctx context.Context, txn store.Txn) (store.Result, error) {
+	f.mu.Lock()
+	if err := f.refused(); err != nil {
+		f.mu.Unlock()
+		return store.Result{}, err
+	}
+	if f.hold != nil && f.hold(txn) {
+		f.held = append(f.held, txn)
+		f.mu.Unlock()
+		<-ctx.Done()
+		return store.Result{}, store.ErrUnknown
+	}
+	res, err := f.apply(txn)
+	lost := res.OK && f.lose != nil && f.lose(txn)
+	f.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return store.Result{}, store.ErrUnknown
+	}
+	return res, err
+}
+
+func (f *Fake) apply(txn store.Txn) (store.Result, error) {
+	res := store.Result{Ring: f.ring}
+	for _, g := range txn.Guards {
+		if f.keys[g.Key].mark != g.Mark {
+			res.Failed = append(res.Failed, g.Key)
+		}
+	}
+	if len(res.Failed) > 0 {
+		return res, nil
+	}
+	res.OK = true
+	if len(txn.Ops) == 0 {
+		return res, nil
+	}
+	for _, op := range txn.Ops {
+		if op.Lease != 0 && f.leases[op.Lease] == nil {
+			return store.Result{}, store.ErrNoLease
+		}
+	}
+	f.ring++
+	res.Ring = f.ring
+	for _, op := range txn.Ops {
+		if op.Delete != "" {
+			f.remove(op.Delete)
+			continue
+		}
+		raw, err := json.Marshal(op.Value)
+		if err != nil {
+			return store.Result{}, err
+		}
+		f.keys[op.Put] = value{raw, f.ring, op.Lease}
+		f.log = append(f.log, change{store.Event{Put: op.Put, Value: raw, Mark: f.ring}, op.Put})
+	}
+	f.wake()
+	return res, nil
+}
+
+func (f *Fake) remove(key string) {
+	if _, ok := f.keys[key]; ok {
+		delete(f.keys, key)
+		f.log = append(f.log, change{store.Event{Delete: key, Mark: f.ring}, key})
+	}
+}
+
+// Grant implements store.Service.
+func (f *Fake) Grant(_ context.Context, life time.Duration) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.refused(); err != nil {
+		return 0, err
+	}
+	f.last++
+	id := f.last
+	f.lives[id] = life
+	f.leases[id] = time.AfterFunc(life, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.leases, id)
+		f.ring++
+		for k, v := range f.keys {
+			if v.lease == id {
+				f.remove(k)
+			}
+		}
+		f.wake()
+	})
+	return id, nil
+}
+
+// Extend implements store.Service.
+func (f *Fake) Extend(_ context.Context, lease uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.refused(); err != nil {
+		return err
+	}
+	t := f.leases[lease]
+	if t == nil {
+		return store.ErrNoLease
+	}
+	t.Reset(f.lives[lease])
+	return nil
+}
+
+// Watch implements store.Service.
+func (f *Fake) Watch(ctx context.Context, prefix string, from uint64, block time.Duration) (store.Changes, error) {
+	timeout := time.NewTimer(block)
+	defer timeout.Stop()
+	for {
+		f.mu.Lock()
+		out := store.Changes{Ring: f.ring}
+		for _, c := range f.log {
+			if c.Mark > from && strings.HasPrefix(c.key, prefix) {
+				out.Events = append(out.Events, c.Event)
+			}
+		}
+		ready := len(out.Events) > 0 && !f.blind && !f.down
+		changed := f.changed
+		f.mu.Unlock()
+		if ready {
+			return out, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return store.Changes{Ring: from}, nil
+		case <-ctx.Done():
+			return store.Changes{}, store.ErrUnknown
+		}
+	}
+}
