--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -17,6 +17,7 @@
 	"example.org/ivytrestle/internal/config"
 	"example.org/ivytrestle/internal/election"
 	"example.org/ivytrestle/internal/policy"
+	"example.org/ivytrestle/internal/store"
 	"example.org/ivytrestle/internal/store/storetest"
 )
 
@@ -92,6 +93,57 @@
 		teams: []config.Team{{Name: "red", CPUs: 8, CPUsMax: 16}, {Name: "blue", CPUs: 8, CPUsMax: 8}}}
 }
 
+// gate is one node's way to the store, which can refuse that node alone.
+type gate struct {
+	*storetest.Fake
+	mu     sync.Mutex
+	closed bool
+}
+
+func (g *gate) set(closed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = closed
+}
+
+func (g *gate) err() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return store.ErrRefused
+	}
+	return nil
+}
+
+func (g *gate) Get(ctx context.Context, key string) (store.Entry, error) {
+	if err := g.err(); err != nil {
+		return store.Entry{}, err
+	}
+	return g.Fake.Get(ctx, key)
+}
+
+func (g *gate) Txn(ctx context.Context, txn store.Txn) (store.Result, error) {
+	if err := g.err(); err != nil {
+		return store.Result{}, err
+	}
+	return g.Fake.Txn(ctx, txn)
+}
+
+func (g *gate) Extend(ctx context.Context, lease uint64) error {
+	if err := g.err(); err != nil {
+		return err
+	}
+	return g.Fake.Extend(ctx, lease)
+}
+
+// Watch hangs while the gate is closed, as an open watch does.
+func (g *gate) Watch(ctx context.Context, prefix string, from uint64, block time.Duration) (store.Changes, error) {
+	for g.err() != nil {
+		time.Sleep(100 * time.Millisecond)
+	}
+	return g.Fake.Watch(ctx, prefix, from, block)
+}
+
 // node is a controller that can be crashed.
 type node struct {
 	*Controller
@@ -102,7 +154,7 @@
 	return w.startWith(name, w.store, nil)
 }
 
-func (w *world) startWith(name string, st *storetest.Fake, peers PeerAsker) *node {
+func (w *world) startWith(name string, st store.Service, peers PeerAsker) *node {
 	w.t.Helper()
 	pol, err := policy.Parse("", "")
 	if err != nil {
@@ -161,9 +213,8 @@
 
 // worker is a scripted machine.
 type worker struct {
-	w    *world
-	rep  api.Report
-	mute bool
+	w   *world
+	rep api.Report
 }
 
 func (w *world) worker(name, zone string, spot bool) *worker {
--- a/internal/controller/recorder.go
+++ b/internal/controller/recorder.go
@@ -110,6 +110,10 @@
 	allowed := min(w.maxOps, int(w.limiter.TokensAt(now)))
 	for len(w.finishing) > 0 && b.bytes < w.maxBytes {
 		j := w.finishing[0]
+		if j.over {
+			w.finishing = w.finishing[1:]
+			continue
+		}
 		if len(b.txn.Ops)+2 > allowed {
 			break
 		}
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -300,13 +300,24 @@
 		switch {
 		case e.Put == store.CancelKey:
 			r.cancelMark = max(r.cancelMark, e.Mark)
+			var id string
+			if err := json.Unmarshal(e.Value, &id); err != nil {
+				c.Log.Error("cancel record", "err", err)
+				continue
+			}
+			if j := r.jobs[id]; j != nil && e.Mark > j.mark {
+				r.withdraw(j)
+			}
 		case e.Put != "":
 			r.addJob(e.Put, e.Value, e.Mark)
 		default:
+			// A record that went neither by a cancellation nor by this leader
+			// was ended by another leader, of which the election has not yet
+			// told: how it ended is not known here.
 			id := e.Delete[len(store.ActivePrefix):]
-			// A job that this leader is finishing is settled by the recorder.
 			if j := r.jobs[id]; j != nil && !j.finishing && e.Mark > j.mark {
-				r.withdraw(j)
+				r.depose()
+				return
 			}
 		}
 	}
--- a/internal/controller/rules_test.go
+++ b/internal/controller/rules_test.go
@@ -531,3 +531,37 @@
 		w.same("not accepted", w.phase(n, "job-1"), api.ErrUnknownJob.Error())
 	})
 }
+
+// The store refuses the leader alone until another has taken over and ended a
+// job. When the old leader is let in again, the first thing it sees is that
+// the job's record is gone: it must not take that for a cancellation.
+func TestLeaderShutOutOfTheStore(t *testing.T) {
+	play(t, func(w *world) {
+		g := &gate{Fake: w.store}
+		a := w.startWith("n0", g, nil)
+		b := w.start("n1")
+		k := w.worker("i-1", "a", false)
+		w.submit(b, spec("job-1", 1))
+		k.serve(a, 3)
+		w.same("running", len(k.running()), 1)
+		g.set(true)
+		for range 40 {
+			if k.report(a); k.report(b) != nil {
+				break
+			}
+			time.Sleep(time.Second)
+		}
+		k.serve(b, 2)
+		k.exit(api.CauseDone)
+		k.serve(b, 4)
+		w.same("new leader", w.phase(b, "job-1"), "done")
+		g.set(false)
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			if got := w.phase(a, "job-1"); got == "withdrawn" {
+				t.Fatal("told as cancelled")
+			}
+		}
+		w.same("old leader", w.phase(a, "job-1"), "done")
+	})
+}
--- a/internal/store/records.go
+++ b/internal/store/records.go
@@ -168,10 +168,12 @@
 		final := FinalRecord{Phase: api.JobWithdrawn, Tasks: rec.Spec.Tasks}
 		res, err := r.Store.Txn(ctx, Txn{
 			Guards: []Guard{{e.Key, e.Mark}},
+			// The cancel key comes first: a watch then tells why the record
+			// goes before it tells that it is gone.
 			Ops: []Op{
+				{Put: CancelKey, Value: id},
 				{Put: FinalPrefix + id, Value: final},
 				{Delete: e.Key},
-				{Put: CancelKey, Value: id},
 			},
 		})
 		if err != nil {
