--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -41,6 +42,8 @@
 	faulty    int
 	heldUntil time.Time
 
+	// waiting is when tasks of the job last began to wait.
+	waiting   time.Time
 	finishing bool
 	over      bool
 }
@@ -159,6 +162,19 @@
 		m.usedMemory+s.MemoryGB <= m.memory+slack
 }
 
+// slots is how many more tasks of a job the machine has room for.
+func (m *machine) slots(s *api.JobSpec) int {
+	n := math.Inf(1)
+	for _, f := range []struct{ free, each float64 }{
+		{m.cpus - m.usedCPUs, s.CPUs}, {m.gpus - m.usedGPUs, s.GPUs}, {m.memory - m.usedMemory, s.MemoryGB},
+	} {
+		if f.each > 0 {
+			n = min(n, math.Floor(f.free/f.each+slack))
+		}
+	}
+	return int(min(n, api.MaxTasks))
+}
+
 // open tells whether the machine may be given tasks.
 func (m *machine) open(now time.Time) bool {
 	return m.heard && m.roster == rosterDurable && !m.leaving && !m.gone && m.cpus > 0 &&
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -340,7 +340,7 @@
 	}
 	n := uint(rec.Spec.Tasks)
 	j := &job{
-		spec: rec.Spec, mark: mark, accepted: rec.Accepted, rank: api.PriorityRank(rec.Spec.Priority), team: team,
+		spec: rec.Spec, mark: mark, accepted: rec.Accepted, waiting: time.Now(), rank: api.PriorityRank(rec.Spec.Priority), team: team,
 		flight: flight.New(rec.Spec.Tasks), live: map[int]*attempt{},
 		done: bitset.New(n), durable: bitset.New(n), chunks: map[int]bool{},
 		zones: map[string]int{}, restarted: map[int]bool{}, barred: map[int]string{}, errors: map[string]int{},
--- a/internal/controller/renter.go
+++ b/internal/controller/renter.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -28,6 +29,8 @@
 }
 
 const (
+	// minimumStay is what the cloud charges at the least.
+	minimumStay  = 30 * time.Second
 	maxRenting   = 3
 	listInterval = 5 * time.Second
 	// blockedFor is how long a kind of machine that was refused is left alone.
@@ -167,7 +170,8 @@
 func (f *renter) idle(now time.Time) []*machine {
 	var out []*machine
 	for _, m := range f.r.machines {
-		if m.leaving || m.gone || !m.heard || m.cpus == 0 || len(m.attempts) > 0 || now.Sub(m.idle) < f.r.c.Policy.IdleReturn {
+		if m.leaving || m.gone || !m.heard || m.cpus == 0 || len(m.attempts) > 0 ||
+			now.Sub(m.idle) < f.r.c.Policy.IdleReturn || now.Sub(m.since) < minimumStay {
 			continue
 		}
 		out = append(out, m)
@@ -186,6 +190,19 @@
 	return out[:n]
 }
 
+// cheapest is the lowest price of a CPU.
+func (f *renter) cheapest() float64 {
+	best := math.Inf(1)
+	for _, mt := range f.r.c.types.load() {
+		for _, p := range []float64{mt.Price, mt.SpotPrice} {
+			if p > 0 && mt.CPUs > 0 {
+				best = min(best, p/mt.CPUs)
+			}
+		}
+	}
+	return best
+}
+
 func (f *renter) cpuPrice(m *machine) float64 {
 	mt, ok := f.r.c.types.load()[m.typ]
 	if !ok || mt.CPUs == 0 {
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -305,7 +305,7 @@
 				if j.flight.Untaken() == 0 || t.Guaranteed(j.spec.CPUs, j.spec.GPUs) != guaranteed {
 					continue
 				}
-				if r.eligible(j, m, now) {
+				if r.eligible(j, m, now) && !r.betterElsewhere(j, m, now) {
 					return j
 				}
 			}
@@ -341,6 +341,44 @@
 	return !s.Spread || j.zones[m.zone] < (s.Tasks+1)/2
 }
 
+// betterElsewhere tells whether machines that suit a job better have room for
+// all that waits of it. They are left to pull it at their next reports: the
+// work gathers where its image is, on cheap machines and on those in use, and
+// the others become empty and go back to the cloud. A job that has waited for
+// a round of reports is taken by anybody.
+func (r *reign) betterElsewhere(j *job, m *machine, now time.Time) bool {
+	if now.Sub(j.waiting) > r.c.Settings.Site.Workers.Report()*13/10+200*time.Millisecond {
+		return false
+	}
+	mine, slots := r.strain(j, m), 0
+	for _, o := range r.machines {
+		if o == m || !o.open(now) || !o.fits(&j.spec) || (o.spot && !j.spec.Spot) || r.strain(j, o) > mine-0.5 {
+			continue
+		}
+		if slots += o.slots(&j.spec); slots >= j.flight.Untaken() {
+			return true
+		}
+	}
+	return false
+}
+
+// strain is how badly a machine suits a job, in seconds lost: the time to
+// fetch the image, and a measure of what it costs to keep the machine.
+func (r *reign) strain(j *job, m *machine) float64 {
+	mt := r.c.types.load()[m.typ]
+	lost := 0.0
+	if _, ok := m.images[j.spec.Image]; !ok && mt.FetchGBs > 0 {
+		lost += j.spec.ImageGB / mt.FetchGBs
+	}
+	if m.usedCPUs < slack {
+		lost += 4
+	}
+	if p := r.renter.cpuPrice(m); p > 0 {
+		lost += 4 * (p/r.renter.cheapest() - 1)
+	}
+	return lost + m.freeCPUs()/m.cpus
+}
+
 // onlyBarred tells whether every untaken task of a job failed on a machine.
 func (j *job) onlyBarred(m *machine) bool {
 	if len(j.barred) == 0 {
--- a/internal/policy/defaults.star
+++ b/internal/policy/defaults.star
@@ -14,7 +14,7 @@
 min_cpus = 0.0
 
 # How long, in seconds, a machine stays empty before it is given back.
-idle_return_s = 30.0
+idle_return_s = 12.0
 
 # How long, in seconds, the leader's lease lasts without renewal: an outage of
 # the state service up to this long does not end the leadership, and a leader
