Serve queues by the next aim that can still be met, before priority

Cause: low-priority betyg waited behind merit and lost its 90 s; moves for draining made late tasks later.

--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -160,7 +160,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	pol.IdleReturn = time.Hour
+	pol.MinCPUs = 100 // no machine is spare
 	s := &config.Settings{Node: name, Site: config.SiteInfo{Teams: w.teams,
 		Objectives: []config.Objective{{Kind: "finished", Class: "c", WithinS: 90}},
 		Workers:    config.Workers{ReportS: 1, LeaseS: 10, CancelS: 30},
--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -18,7 +18,11 @@
 	spec     api.JobSpec
 	mark     uint64
 	accepted time.Time
-	due      time.Time
+	// aims are when the job should be complete, by the aims of its class;
+	// latest is when to begin to meet the next that can still be met.
+	aims     []time.Time
+	latest   time.Time
+	hopeless bool
 	rank     int
 	team     *queue.Team[*job]
 
@@ -48,11 +52,25 @@
 	over      bool
 }
 
-// Rank, Latest and ID make a job an item of its team's queue.
+// Rank, Latest, Hopeless and ID make a job an item of its team's queue.
 func (j *job) Rank() int         { return j.rank }
-func (j *job) Latest() time.Time { return j.due.Add(-j.spec.Estimate()) }
+func (j *job) Latest() time.Time { return j.latest }
+func (j *job) Hopeless() bool    { return j.hopeless }
 func (j *job) ID() string        { return j.spec.ID }
 
+// look finds the next aim that can still be met by starting now.
+func (j *job) look(now time.Time) {
+	est := j.spec.Estimate()
+	for _, aim := range j.aims {
+		j.latest = aim.Add(-est)
+		if !now.After(j.latest) {
+			j.hopeless = false
+			return
+		}
+	}
+	j.hopeless = true
+}
+
 func (j *job) taskRef(task int) string { return j.spec.ID + "/" + strconv.Itoa(task) }
 
 // splitRef is the reverse of taskRef.
@@ -143,6 +161,9 @@
 	foreign  int
 	images   map[string]time.Time
 
+	// draining machines get no tasks while there is room elsewhere; unlike
+	// leaving ones they are taken back into use when that room is needed.
+	draining  bool
 	leaving   bool
 	returning bool
 	why       string
@@ -177,7 +198,7 @@
 
 // open tells whether the machine may be given tasks.
 func (m *machine) open(now time.Time) bool {
-	return m.heard && m.roster == rosterDurable && !m.leaving && !m.gone && m.cpus > 0 &&
+	return m.heard && m.roster == rosterDurable && !m.draining && !m.leaving && !m.gone && m.cpus > 0 &&
 		m.reclaim.IsZero() && m.foreign == 0 && !now.Before(m.pauseUntil)
 }
 
--- a/internal/controller/recorder.go
+++ b/internal/controller/recorder.go
@@ -305,7 +305,7 @@
 			r.recorder.drop(store.ProgressKey(j.spec.ID, first))
 		}
 	}
-	r.c.Log.Debug("job done", "job", j.spec.ID, "late", math.Round(time.Since(j.due).Seconds()))
+	r.c.Log.Debug("job done", "job", j.spec.ID, "late", math.Round(time.Since(j.aims[0]).Seconds()))
 }
 
 // verify reads how jobs ended whose end was written with an unknown outcome,
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -12,6 +12,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/config"
 	"example.org/ivytrestle/internal/election"
 	"example.org/ivytrestle/internal/flight"
 	"example.org/ivytrestle/internal/queue"
@@ -345,28 +346,39 @@
 		done: bitset.New(n), durable: bitset.New(n), chunks: map[int]bool{},
 		zones: map[string]int{}, restarted: map[int]bool{}, barred: map[int]string{}, errors: map[string]int{},
 	}
-	j.due = r.dueTime(j)
+	j.aims = r.aims(j)
+	j.look(time.Now())
 	r.jobs[id] = j
 	team.Add(j)
 	r.c.Log.Debug("job", "job", id, "class", j.spec.Class, "team", j.spec.Team, "tasks", j.spec.Tasks)
 }
 
-// dueTime is when a job should be complete: by its deadline, or else by the
-// shortest time that the objectives name for its class.
-func (r *reign) dueTime(j *job) time.Time {
-	if j.spec.DeadlineS > 0 {
-		return j.accepted.Add(time.Duration(j.spec.DeadlineS * float64(time.Second)))
-	}
-	within := 0.0
+// aims are the times by which a job should be complete: its deadline and the
+// multiples of it that the objectives name, or the times that they name for
+// its class.
+func (r *reign) aims(j *job) []time.Time {
+	var seconds []float64
 	for _, o := range r.c.Settings.Site.Objectives {
-		if o.Kind == "finished" && o.Class == j.spec.Class && (within == 0 || o.WithinS < within) {
-			within = o.WithinS
+		switch {
+		case o.Class != j.spec.Class:
+		case o.Kind == "deadline" && j.spec.DeadlineS > 0:
+			seconds = append(seconds, j.spec.DeadlineS*max(o.Times, 1))
+		case o.Kind == "finished":
+			seconds = append(seconds, o.WithinS)
 		}
 	}
-	if within == 0 {
-		within = 10 * j.spec.EstimateS
+	if j.spec.DeadlineS > 0 {
+		seconds = append(seconds, j.spec.DeadlineS)
 	}
-	return j.accepted.Add(time.Duration(within * float64(time.Second)))
+	if len(seconds) == 0 {
+		seconds = append(seconds, 10*j.spec.EstimateS)
+	}
+	slices.Sort(seconds)
+	var out []time.Time
+	for _, s := range slices.Compact(seconds) {
+		out = append(out, j.accepted.Add(config.Seconds(s)))
+	}
+	return out
 }
 
 // withdraw takes in that a job was cancelled. What runs of it is stopped by
@@ -423,6 +435,9 @@
 	}
 	r.nextScan = now.Add(time.Second)
 	for _, t := range r.turns {
+		for _, j := range t.Items() {
+			j.look(now)
+		}
 		t.Resort()
 	}
 	r.scanMachines(now)
--- a/internal/controller/renter.go
+++ b/internal/controller/renter.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/cloud"
 	"example.org/ivytrestle/internal/fleet"
 )
@@ -26,6 +27,8 @@
 	nextList time.Time
 	listing  bool
 	surplus  float64
+	// roomSince is since when there has been room to spare.
+	roomSince time.Time
 }
 
 const (
@@ -46,6 +49,7 @@
 	f.sendReturns()
 	f.list(now)
 	f.rent(now)
+	f.move(now)
 }
 
 // demand is the CPUs that the teams could use now, each within its limit.
@@ -81,7 +85,8 @@
 	}
 	demand := f.demand() * (1 + r.c.Policy.Headroom)
 	f.surplus = total - max(demand, r.c.Policy.MinCPUs)
-	lack := max(demand, r.c.Policy.MinCPUs) - total - booting
+	f.drain(now)
+	lack := -f.surplus - booting
 	if lack <= 0 || f.renting >= maxRenting || r.unheard > 0 {
 		return
 	}
@@ -94,6 +99,74 @@
 	}
 }
 
+// drainAfter is how long there must have been room to spare before a machine
+// is drained.
+const drainAfter = 6 * time.Second
+
+// drain empties the machines that are worth least while there is room to spare,
+// and takes them back into use when there is not.
+func (f *renter) drain(now time.Time) {
+	spare := f.surplus
+	var draining, rest []*machine
+	for _, m := range f.r.machines {
+		switch {
+		case m.leaving || m.gone:
+		case m.draining:
+			draining = append(draining, m)
+			spare -= m.cpus
+		case m.open(now) && now.Sub(m.since) > minimumStay:
+			rest = append(rest, m)
+		}
+	}
+	byWorth := func(a, b *machine) int {
+		return cmp.Or(-cmp.Compare(f.cpuPrice(a), f.cpuPrice(b)), cmp.Compare(a.usedCPUs, b.usedCPUs), cmp.Compare(a.name, b.name))
+	}
+	slices.SortFunc(draining, byWorth)
+	for i := len(draining) - 1; i >= 0 && spare < 0; i-- {
+		draining[i].draining = false
+		spare += draining[i].cpus
+	}
+	if spare <= 0 {
+		f.roomSince = now
+		return
+	}
+	slices.SortFunc(rest, byWorth)
+	if now.Sub(f.roomSince) < drainAfter || len(rest) == 0 || spare < rest[0].cpus {
+		return
+	}
+	m := rest[0]
+	m.draining = true
+	f.r.c.Log.Debug("machine drained", "machine", m.name, "tasks", len(m.attempts), "spare", spare)
+}
+
+// moveAfter keeps tasks that have just begun, and those that will soon end,
+// where they are.
+const (
+	moveAfter  = 30 * time.Second
+	moveUnless = 20 * time.Second
+)
+
+// move stops the tasks on draining machines that can go on elsewhere from
+// where they were.
+func (f *renter) move(now time.Time) {
+	for _, m := range f.r.machines {
+		if !m.draining {
+			continue
+		}
+		for _, a := range m.attempts {
+			if a.exited || a.job == nil || a.stop != nil || a.job.over || a.job.spec.CheckpointS == 0 || a.phase != api.TaskRunning {
+				continue
+			}
+			s := &a.job.spec
+			ran := now.Sub(a.runningAt)
+			left := s.Estimate() - ran
+			if ran > moveAfter && left > moveUnless+s.Save() && now.Add(left*3/2+moveUnless).Before(a.job.aims[0]) {
+				f.r.stop(a, 2*s.Save()+time.Second, now)
+			}
+		}
+	}
+}
+
 // offers are the kinds of machine that were not refused lately.
 func (f *renter) offers(now time.Time) []fleet.Offer {
 	var all []fleet.Offer
@@ -171,7 +244,7 @@
 	var out []*machine
 	for _, m := range f.r.machines {
 		if m.leaving || m.gone || !m.heard || m.cpus == 0 || len(m.attempts) > 0 ||
-			now.Sub(m.idle) < f.r.c.Policy.IdleReturn || now.Sub(m.since) < minimumStay {
+			(!m.draining && now.Sub(m.idle) < f.r.c.Policy.IdleReturn) || now.Sub(m.since) < minimumStay {
 			continue
 		}
 		out = append(out, m)
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -10,10 +10,12 @@
 
 // Item is a job that waits.
 type Item interface {
+	// Hopeless tells that none of the job's aims can be met any more.
+	Hopeless() bool
+	// Latest is the latest time to begin and still meet the next aim.
+	Latest() time.Time
 	// Rank is the job's priority, the highest first.
 	Rank() int
-	// Latest is the latest time to begin and still be in time.
-	Latest() time.Time
 	ID() string
 }
 
@@ -43,13 +45,24 @@
 func (t *Team[T]) Items() []T {
 	if !t.sorted {
 		slices.SortFunc(t.items, func(a, b T) int {
-			return cmp.Or(cmp.Compare(a.Rank(), b.Rank()), a.Latest().Compare(b.Latest()), cmp.Compare(a.ID(), b.ID()))
+			return cmp.Or(boolCompare(a.Hopeless(), b.Hopeless()), a.Latest().Compare(b.Latest()),
+				cmp.Compare(a.Rank(), b.Rank()), cmp.Compare(a.ID(), b.ID()))
 		})
 		t.sorted = true
 	}
 	return t.items
 }
 
+func boolCompare(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
 // Resort makes the next look at the queue put it in order again.
 func (t *Team[T]) Resort() { t.sorted = false }
 
