--- a/internal/controller/renter.go
+++ b/internal/controller/renter.go
@@ -134,9 +134,14 @@
 	if now.Sub(f.roomSince) < drainAfter || len(rest) == 0 || spare < rest[0].cpus {
 		return
 	}
-	m := rest[0]
-	m.draining = true
-	f.r.c.Log.Debug("machine drained", "machine", m.name, "tasks", len(m.attempts), "spare", spare)
+	for _, m := range rest {
+		if spare < m.cpus {
+			return
+		}
+		spare -= m.cpus
+		m.draining = true
+		f.r.c.Log.Debug("machine drained", "machine", m.name, "tasks", len(m.attempts), "spare", spare)
+	}
 }
 
 // moveAfter keeps tasks that have just begun, and those that will soon end,
@@ -160,7 +165,9 @@
 			s := &a.job.spec
 			ran := now.Sub(a.runningAt)
 			left := s.Estimate() - ran
-			if ran > moveAfter && left > moveUnless+s.Save() && now.Add(left*3/2+moveUnless).Before(a.job.aims[0]) {
+			aim := a.job.latest.Add(s.Estimate())
+			if ran > moveAfter && left > moveUnless+s.Save() &&
+				(a.job.hopeless || now.Add(left*3/2+moveUnless).Before(aim)) {
 				f.r.stop(a, 2*s.Save()+time.Second, now)
 			}
 		}
