--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -33,6 +33,7 @@
 	Store    store.Service
 	Cloud    cloud.Service
 	Peers    PeerAsker
+	Prober   Prober
 	Log      *slog.Logger
 }
 
--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -153,9 +153,12 @@
 	// carries out no earlier leader's orders.
 	heard    bool
 	lastSeen time.Time
-	since    time.Time
-	idle     time.Time
-	reclaim  time.Time
+	// nextProbe and probeFailed belong to the watch over silent machines.
+	nextProbe   time.Time
+	probeFailed bool
+	since       time.Time
+	idle        time.Time
+	reclaim     time.Time
 
 	attempts map[attemptKey]*attempt
 	foreign  int
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -464,21 +464,9 @@
 
 // scanMachines gives back the machines that are silent, bad or idle.
 func (r *reign) scanMachines(now time.Time) {
-	w := r.c.Settings.Site.Workers
-	silence := w.Lease()*6/10 + w.Report()
+	r.silences(now)
 	for _, m := range r.machines {
-		if m.returning || m.gone {
-			continue
-		}
-		quiet := now.Sub(m.lastSeen)
-		switch {
-		case quiet > silence:
-			r.leave(m, "silent")
-			r.renter.giveBack(m)
-		case m.leaving && len(m.attempts) == 0:
-			r.renter.giveBack(m)
-		case m.leaving && now.Sub(m.since) > 0 && quiet > w.Report()*3:
-			// Leaving and quiet: nothing to be gained by waiting longer.
+		if m.leaving && !m.returning && !m.gone && len(m.attempts) == 0 {
 			r.renter.giveBack(m)
 		}
 	}
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -36,6 +36,7 @@
 		return ans, nil // older than what is known
 	}
 	m.session, m.seq, m.lastSeen, m.addr = rep.Session, rep.Seq, now, rep.Addr
+	m.probeFailed = false
 	if m.cpus == 0 {
 		if mt, ok := r.c.types.load()[m.typ]; ok {
 			m.cpus, m.gpus, m.memory = mt.CPUs, mt.GPUs, mt.MemoryGB
@@ -344,10 +345,10 @@
 // betterElsewhere tells whether machines that suit a job better have room for
 // all that waits of it. They are left to pull it at their next reports: the
 // work gathers where its image is, on cheap machines and on those in use, and
-// the others become empty and go back to the cloud. A job that has waited for
-// a round of reports is taken by anybody.
+// the others become empty and go back to the cloud. A job that has waited
+// for half a round of reports is taken by anybody.
 func (r *reign) betterElsewhere(j *job, m *machine, now time.Time) bool {
-	if now.Sub(j.waiting) > r.c.Settings.Site.Workers.Report()*13/10+200*time.Millisecond {
+	if now.Sub(j.waiting) > r.c.Settings.Site.Workers.Report()/2 {
 		return false
 	}
 	mine, slots := r.strain(j, m), 0
@@ -374,7 +375,7 @@
 		lost += 4
 	}
 	if p := r.renter.cpuPrice(m); p > 0 {
-		lost += 4 * (p/r.renter.cheapest() - 1)
+		lost += p/r.renter.cheapest() - 1
 	}
 	return lost + m.freeCPUs()/m.cpus
 }
--- /dev/null
+++ b/internal/controller/silence.go
@@ -0,0 +1,96 @@
+package controller
+
+import (
+	"context"
+	"time"
+)
+
+// Prober asks a machine directly whether it is alive.
+type Prober interface {
+	Probe(ctx context.Context, addr string) error
+}
+
+const (
+	probeTimeout = 1500 * time.Millisecond
+	probeEvery   = 2 * time.Second
+	// settleIn is what machines are given to find a new leader.
+	settleIn = 5 * time.Second
+)
+
+// silences gives back the machines that have fallen silent. A machine that is
+// dead is noticed after two missed reports and a probe that failed; waiting
+// for its lease would cost its tasks that much more. Where most of a zone is
+// silent at once, the network is the more likely cause: its machines are given
+// the time of their lease, after which their tasks have ended anyway.
+func (r *reign) silences(now time.Time) {
+	w := r.c.Settings.Site.Workers
+	suspect := w.Report()*5/4 + time.Second
+	limit := 2*w.Report() + 2*time.Second
+	if now.Sub(r.began) < w.Lease() {
+		limit += settleIn
+	}
+	all, quiet := map[string]int{}, map[string]int{}
+	for _, m := range r.machines {
+		if m.gone || m.returning {
+			continue
+		}
+		all[m.zone]++
+		if now.Sub(m.lastSeen) > suspect {
+			quiet[m.zone]++
+		}
+	}
+	for _, m := range r.machines {
+		if m.gone || m.returning || now.Sub(m.lastSeen) <= suspect {
+			continue
+		}
+		r.probe(m, now)
+		cut := quiet[m.zone] >= 3 && quiet[m.zone]*5 > all[m.zone]*3
+		switch silent := now.Sub(m.lastSeen); {
+		case silent > w.Lease()+2*w.Report():
+		case silent > limit && !cut && m.probeFailed:
+		default:
+			continue
+		}
+		r.leave(m, "silent")
+		r.renter.giveBack(m)
+	}
+}
+
+// probe asks a silent machine, unless it was asked just now.
+func (r *reign) probe(m *machine, now time.Time) {
+	if now.Before(m.nextProbe) {
+		return
+	}
+	m.nextProbe = now.Add(probeEvery)
+	p := r.c.Prober
+	if p == nil || m.addr == "" {
+		m.probeFailed = true
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(r.ctx, probeTimeout)
+		defer cancel()
+		r.post(probedMsg{r, m, now, p.Probe(ctx, m.addr)})
+	}()
+}
+
+type probedMsg struct {
+	r     *reign
+	m     *machine
+	asked time.Time
+	err   error
+}
+
+func (p probedMsg) apply(c *Controller) {
+	if c.reign != p.r || p.m.gone {
+		return
+	}
+	if p.err != nil {
+		p.m.probeFailed = p.m.lastSeen.Before(p.asked)
+		return
+	}
+	// Alive, but its reports do not get here; what they would say is not
+	// known, so only the silence is taken back.
+	p.m.probeFailed = false
+	p.m.lastSeen = time.Now()
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"example.org/ivytrestle/internal/peer"
 	"example.org/ivytrestle/internal/policy"
 	"example.org/ivytrestle/internal/store"
+	"example.org/ivytrestle/internal/worker"
 )
 
 // Logger writes to w in the amount that a level's name asks for.
@@ -72,7 +73,7 @@
 	peers := newPeers(s.Peers)
 	c := controller.New(controller.Config{
 		Settings: s, Policy: p, Store: st, Cloud: cloud.NewClient(s.Outside.Cloud, s.Site.Cloud),
-		Peers: peers, Log: log,
+		Peers: peers, Prober: worker.NewProber(), Log: log,
 	})
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/policy/defaults.star
+++ b/internal/policy/defaults.star
@@ -8,7 +8,7 @@
 use_spot = True
 
 # Part of the demand that is kept free on top of it.
-headroom = 0.0
+headroom = 0.05
 
 # CPUs that are kept rented even when nothing waits.
 min_cpus = 0.0
