Takeover asks unheard machines directly, by their address on the roster

Cause: after a roll with spot machines lost, the new leader waited 13 s for three dead machines before anything old could start.

--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -84,6 +84,16 @@
 	store *storetest.Fake
 	cloud *fakeCloud
 	teams []config.Team
+	// dead are the machines that do not answer when asked directly.
+	dead sync.Map
+}
+
+// Probe implements Prober.
+func (w *world) Probe(_ context.Context, addr string) error {
+	if _, dead := w.dead.Load(addr); dead {
+		return errors.New("no answer")
+	}
+	return nil
 }
 
 func newWorld(t *testing.T) *world {
@@ -167,7 +177,7 @@
 		State:      config.StateLimits{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
 		Cloud:      config.CloudLimits{RPS: 5, ListLagS: 4}}}
 	log := slog.New(slog.DiscardHandler)
-	c := New(Config{Settings: s, Policy: pol, Store: st, Cloud: w.cloud, Peers: peers, Log: log})
+	c := New(Config{Settings: s, Policy: pol, Store: st, Cloud: w.cloud, Peers: peers, Prober: w, Log: log})
 	ctx, cancel := context.WithCancel(context.Background())
 	cand := &election.Candidate{Node: name, Incarnation: fmt.Sprint(time.Now().UnixNano()), Store: st,
 		Lease: pol.LeaderLease, Renew: 3 * time.Second, Observer: c, Log: log, Depose: c.Depose()}
@@ -218,7 +228,7 @@
 }
 
 func (w *world) worker(name, zone string, spot bool) *worker {
-	return &worker{w: w, rep: api.Report{Machine: name, Type: "small", Zone: zone, Spot: spot, Session: 1}}
+	return &worker{w: w, rep: api.Report{Machine: name, Addr: name, Type: "small", Zone: zone, Spot: spot, Session: 1}}
 }
 
 // report sends a report and carries the orders out, as a worker does.
--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -47,7 +47,12 @@
 	heldUntil time.Time
 
 	// waiting is when tasks of the job last began to wait.
-	waiting   time.Time
+	waiting time.Time
+	// What the log says of a job at its end.
+	lost                  int
+	firstStart, lastStart time.Time
+	longest               time.Duration
+
 	finishing bool
 	over      bool
 }
@@ -153,12 +158,12 @@
 	// carries out no earlier leader's orders.
 	heard    bool
 	lastSeen time.Time
-	// nextProbe and probeFailed belong to the watch over silent machines.
-	nextProbe   time.Time
-	probeFailed bool
-	since       time.Time
-	idle        time.Time
-	reclaim     time.Time
+	// nextProbe and probeFails belong to the watch over silent machines.
+	nextProbe  time.Time
+	probeFails int
+	since      time.Time
+	idle       time.Time
+	reclaim    time.Time
 
 	attempts map[attemptKey]*attempt
 	foreign  int
--- a/internal/controller/recorder.go
+++ b/internal/controller/recorder.go
@@ -130,7 +130,7 @@
 		if m.gone {
 			continue
 		}
-		b.put(store.MachinePrefix+m.name, store.MachineRecord{Type: m.typ, Zone: m.zone, Spot: m.spot,
+		b.put(store.MachinePrefix+m.name, store.MachineRecord{Addr: m.addr, Type: m.typ, Zone: m.zone, Spot: m.spot,
 			CPUs: m.cpus, GPUs: m.gpus, MemoryGB: m.memory})
 		b.enrolled = append(b.enrolled, m)
 	}
@@ -305,7 +305,10 @@
 			r.recorder.drop(store.ProgressKey(j.spec.ID, first))
 		}
 	}
-	r.c.Log.Debug("job done", "job", j.spec.ID, "late", math.Round(time.Since(j.aims[0]).Seconds()))
+	r.c.Log.Debug("job done", "job", j.spec.ID, "class", j.spec.Class, "tasks", j.spec.Tasks,
+		"lost", j.lost, "firstStart", j.firstStart.Sub(j.accepted).Round(time.Second/10),
+		"lastStart", j.lastStart.Sub(j.accepted).Round(time.Second/10), "estimate", j.spec.EstimateS, "longest", j.longest.Round(time.Second/10),
+		"late", math.Round(time.Since(j.aims[0]).Seconds()))
 }
 
 // verify reads how jobs ended whose end was written with an unknown outcome,
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -250,6 +250,7 @@
 			c.Log.Error("roster record", "key", e.Key, "err", err)
 		}
 		mc := r.addMachine(name, rec.Type, rec.Zone, rec.Spot, now)
+		mc.addr = rec.Addr
 		mc.cpus, mc.gpus, mc.memory = rec.CPUs, rec.GPUs, rec.MemoryGB
 		mc.roster = rosterDurable
 		r.unheard++
--- a/internal/controller/renter.go
+++ b/internal/controller/renter.go
@@ -167,7 +167,7 @@
 			left := s.Estimate() - ran
 			aim := a.job.latest.Add(s.Estimate())
 			if ran > moveAfter && left > moveUnless+s.Save() &&
-				(a.job.hopeless || now.Add(left*3/2+moveUnless).Before(aim)) {
+				(a.job.hopeless || now.Add(2*left+3*moveUnless).Before(aim)) {
 				f.r.stop(a, 2*s.Save()+time.Second, now)
 			}
 		}
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -36,7 +36,7 @@
 		return ans, nil // older than what is known
 	}
 	m.session, m.seq, m.lastSeen, m.addr = rep.Session, rep.Seq, now, rep.Addr
-	m.probeFailed = false
+	m.probeFails = 0
 	if m.cpus == 0 {
 		if mt, ok := r.c.types.load()[m.typ]; ok {
 			m.cpus, m.gpus, m.memory = mt.CPUs, mt.GPUs, mt.MemoryGB
@@ -161,6 +161,10 @@
 	if a.phase == api.TaskRunning && was != api.TaskRunning {
 		a.runningAt = now
 		if a.job != nil {
+			if a.job.firstStart.IsZero() {
+				a.job.firstStart = now
+			}
+			a.job.lastStart = now
 			a.machine.images[a.job.spec.Image] = now
 		}
 	}
@@ -185,6 +189,9 @@
 		return
 	}
 	if t.Cause == api.CauseDone {
+		if !a.runningAt.IsZero() {
+			j.longest = max(j.longest, now.Sub(a.runningAt))
+		}
 		r.taskDone(j, a.task, now)
 		j.faulty = 0
 		m.pause = 0
@@ -210,6 +217,7 @@
 	}
 	delete(j.live, a.task)
 	if !j.done.Test(uint(a.task)) {
+		j.lost++
 		j.flight.Release(a.task)
 	}
 }
--- a/internal/controller/rules_test.go
+++ b/internal/controller/rules_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -161,6 +162,7 @@
 		k1.serve(n, 3)
 		w.same("running", k1.running(), []string{"job-1/0"})
 		w.cloud.refuseTurns = true
+		w.dead.Store("i-1", true)
 		k2.serve(n, 40)
 		w.same("not started again", len(k2.running()), 0)
 		w.cloud.mu.Lock()
@@ -565,3 +567,41 @@
 		w.same("old leader", w.phase(a, "job-1"), "done")
 	})
 }
+
+// A new leader asks the machines that it has not heard, by the addresses on
+// the roster: one that is dead would hold all earlier jobs back for as long as
+// it is waited for. One that is alive is waited for.
+func TestTakeoverAsksUnheardMachines(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.start("n0")
+		ks := make([]*worker, 5)
+		for i := range ks {
+			ks[i] = w.worker(fmt.Sprint("i-", i), "a", false)
+			ks[i].serve(a, 2)
+		}
+		w.submit(a, spec("job-1", 8))
+		for range 2 {
+			ks[0].report(a)
+			ks[1].report(a)
+			time.Sleep(time.Second)
+		}
+		w.same("started", len(ks[0].running())+len(ks[1].running()), 8)
+		a.crash()
+		w.dead.Store("i-0", true)
+		b := w.start("n0")
+		for range 7 {
+			for _, k := range ks[2:] {
+				k.report(b)
+			}
+			time.Sleep(time.Second)
+		}
+		w.same("dead machine returned", w.cloud.gone("i-0"), true)
+		w.same("live machine waited for", w.cloud.gone("i-1"), false)
+		for range 3 {
+			ks[1].report(b)
+			ks[2].report(b)
+			time.Sleep(time.Second)
+		}
+		w.same("restarted", len(ks[2].running()), 4)
+	})
+}
--- a/internal/controller/silence.go
+++ b/internal/controller/silence.go
@@ -13,21 +13,26 @@
 const (
 	probeTimeout = 1500 * time.Millisecond
 	probeEvery   = 2 * time.Second
-	// settleIn is what machines are given to find a new leader.
-	settleIn = 5 * time.Second
+	// deadAfter is how many probes in a row must fail.
+	deadAfter = 2
+	// settleIn is what machines are given to find a new leader before they
+	// are probed.
+	settleIn = 1500 * time.Millisecond
 )
 
 // silences gives back the machines that have fallen silent. A machine that is
-// dead is noticed after two missed reports and a probe that failed; waiting
-// for its lease would cost its tasks that much more. Where most of a zone is
+// dead is noticed after a missed report and two probes that failed; waiting
+// for its lease would cost its tasks that much more, and a new leader that
+// waits for it to be heard can start nothing old. Where most of a zone is
 // silent at once, the network is the more likely cause: its machines are given
 // the time of their lease, after which their tasks have ended anyway.
 func (r *reign) silences(now time.Time) {
 	w := r.c.Settings.Site.Workers
-	suspect := w.Report()*5/4 + time.Second
-	limit := 2*w.Report() + 2*time.Second
-	if now.Sub(r.began) < w.Lease() {
-		limit += settleIn
+	suspect := func(m *machine) bool {
+		if m.session == 0 {
+			return now.Sub(m.lastSeen) > settleIn // not heard of in this term
+		}
+		return now.Sub(m.lastSeen) > w.Report()*5/4+time.Second
 	}
 	all, quiet := map[string]int{}, map[string]int{}
 	for _, m := range r.machines {
@@ -35,19 +40,19 @@
 			continue
 		}
 		all[m.zone]++
-		if now.Sub(m.lastSeen) > suspect {
+		if suspect(m) {
 			quiet[m.zone]++
 		}
 	}
 	for _, m := range r.machines {
-		if m.gone || m.returning || now.Sub(m.lastSeen) <= suspect {
+		if m.gone || m.returning || !suspect(m) {
 			continue
 		}
 		r.probe(m, now)
 		cut := quiet[m.zone] >= 3 && quiet[m.zone]*5 > all[m.zone]*3
 		switch silent := now.Sub(m.lastSeen); {
 		case silent > w.Lease()+2*w.Report():
-		case silent > limit && !cut && m.probeFailed:
+		case m.probeFails >= deadAfter && !cut:
 		default:
 			continue
 		}
@@ -64,7 +69,7 @@
 	m.nextProbe = now.Add(probeEvery)
 	p := r.c.Prober
 	if p == nil || m.addr == "" {
-		m.probeFailed = true
+		m.probeFails++
 		return
 	}
 	go func() {
@@ -86,11 +91,13 @@
 		return
 	}
 	if p.err != nil {
-		p.m.probeFailed = p.m.lastSeen.Before(p.asked)
+		if p.m.lastSeen.Before(p.asked) {
+			p.m.probeFails++
+		}
 		return
 	}
 	// Alive, but its reports do not get here; what they would say is not
 	// known, so only the silence is taken back.
-	p.m.probeFailed = false
+	p.m.probeFails = 0
 	p.m.lastSeen = time.Now()
 }
--- a/internal/store/records.go
+++ b/internal/store/records.go
@@ -45,6 +45,7 @@
 
 // MachineRecord is a machine that may hold tasks.
 type MachineRecord struct {
+	Addr     string  `json:"addr"`
 	Type     string  `json:"type"`
 	Zone     string  `json:"zone"`
 	Spot     bool    `json:"spot"`
