--- a/internal/controller/renter.go
+++ b/internal/controller/renter.go
@@ -26,6 +26,7 @@
 	sending  bool
 	nextList time.Time
 	listing  bool
+	peak     peak
 	surplus  float64
 	// roomSince is since when there has been room to spare.
 	roomSince time.Time
@@ -83,10 +84,10 @@
 			booting += e.cpus
 		}
 	}
-	demand := f.demand() * (1 + r.c.Policy.Headroom)
-	f.surplus = total - max(demand, r.c.Policy.MinCPUs)
+	want := max(f.demand()*(1+r.c.Policy.Headroom), r.c.Policy.MinCPUs)
+	f.surplus = total - f.peak.add(now, want, r.c.Policy.Hold)
 	f.drain(now)
-	lack := -f.surplus - booting
+	lack := want - total - booting
 	if lack <= 0 || f.renting >= maxRenting || r.unheard > 0 {
 		return
 	}
@@ -99,6 +100,28 @@
 	}
 }
 
+// peak is the highest demand of the last while. Jobs come in bursts that fill
+// the fleet for less time than a machine takes to boot, so machines are kept
+// for the last burst's like.
+type peak struct {
+	at   []time.Time
+	want []float64
+}
+
+// add takes in the present demand and returns the highest since hold ago.
+func (p *peak) add(now time.Time, want float64, hold time.Duration) float64 {
+	// Only falling values are kept: a lower one before a higher one can never
+	// be the highest again.
+	for len(p.want) > 0 && p.want[len(p.want)-1] <= want {
+		p.at, p.want = p.at[:len(p.at)-1], p.want[:len(p.want)-1]
+	}
+	p.at, p.want = append(p.at, now), append(p.want, want)
+	for now.Sub(p.at[0]) > hold {
+		p.at, p.want = p.at[1:], p.want[1:]
+	}
+	return p.want[0]
+}
+
 // drainAfter is how long there must have been room to spare before a machine
 // is drained.
 const drainAfter = 6 * time.Second
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -26,6 +26,7 @@
 	Headroom    float64
 	MinCPUs     float64
 	IdleReturn  time.Duration
+	Hold        time.Duration
 	LeaderLease time.Duration
 }
 
@@ -106,14 +107,14 @@
 		return fail("use_spot", "True or False")
 	}
 	p.UseSpot = bool(spot)
-	var idle, lease float64
+	var idle, lease, hold float64
 	for _, f := range []struct {
 		key    string
 		to     *float64
 		lo, hi float64
 	}{
 		{"headroom", &p.Headroom, 0, 10}, {"min_cpus", &p.MinCPUs, 0, 1e6},
-		{"idle_return_s", &idle, 0, 86400}, {"leader_lease_s", &lease, 2, 600},
+		{"idle_return_s", &idle, 0, 86400}, {"hold_s", &hold, 0, 86400}, {"leader_lease_s", &lease, 2, 600},
 	} {
 		x, ok := starlark.AsFloat(v[f.key])
 		if !ok || math.IsNaN(x) || x < f.lo || x > f.hi {
@@ -122,6 +123,7 @@
 		*f.to = x
 	}
 	p.IdleReturn = time.Duration(idle * float64(time.Second))
+	p.Hold = time.Duration(hold * float64(time.Second))
 	p.LeaderLease = time.Duration(lease * float64(time.Second))
 	shares, ok := v["team_shares"].(*starlark.Dict)
 	if !ok {
