--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -37,6 +37,7 @@
 	chunks map[int]bool
 	dirty  bool
 
+	runs      map[string]*runs
 	zones     map[string]int
 	restarted map[int]bool
 	barred    map[int]string
@@ -176,6 +177,10 @@
 	returning bool
 	why       string
 
+	// slowness is how long runs take here against elsewhere, over slowRuns.
+	slowness float64
+	slowRuns int
+
 	errorJobs  map[string]int
 	pauseUntil time.Time
 	pause      time.Duration
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -190,7 +190,7 @@
 	}
 	if t.Cause == api.CauseDone {
 		if !a.runningAt.IsZero() {
-			j.longest = max(j.longest, now.Sub(a.runningAt))
+			r.ran(a, now.Sub(a.runningAt), now)
 		}
 		r.taskDone(j, a.task, now)
 		j.faulty = 0
@@ -413,48 +413,3 @@
 	}
 	return sum
 }
-
-// overdueTimes is how many estimates a run may take before it is overdue.
-const overdueTimes = 2
-
-// scanOverdue restarts, once, a run past twice its estimate when its machine's
-// other tasks of the job overran as well and those on other machines did not.
-func (r *reign) scanOverdue(now time.Time) {
-	for _, j := range r.jobs {
-		est := j.spec.Estimate()
-		if est <= 0 || len(j.live) == 0 {
-			continue
-		}
-		over, total := map[*machine]int{}, map[*machine]int{}
-		for _, a := range j.live {
-			if a.runningAt.IsZero() || a.exited {
-				continue
-			}
-			total[a.machine]++
-			if now.Sub(a.runningAt) > overdueTimes*est {
-				over[a.machine]++
-			}
-		}
-		for _, a := range j.live {
-			m := a.machine
-			if a.stop != nil || j.restarted[a.task] || over[m] < 2 || over[m] != total[m] ||
-				a.runningAt.IsZero() || now.Sub(a.runningAt) <= overdueTimes*est {
-				continue
-			}
-			others, othersOver := 0, 0
-			for o, n := range total {
-				if o != m {
-					others += n
-					othersOver += over[o]
-				}
-			}
-			if others+j.doneCount == 0 || othersOver > 0 {
-				continue
-			}
-			j.restarted[a.task] = true
-			j.barred[a.task] = m.name
-			r.c.Log.Info("slow run restarted", "task", a.key.ref, "machine", m.name)
-			r.stop(a, j.spec.Save()*2, now)
-		}
-	}
-}
--- a/internal/controller/rules_test.go
+++ b/internal/controller/rules_test.go
@@ -605,3 +605,53 @@
 		w.same("restarted", len(ks[2].running()), 4)
 	})
 }
+
+// When a job's estimate is too low all its tasks pass the limit together, and
+// restarting them would throw their work away. Only the member that is slower
+// than the others loses its run, once.
+func TestOverdueRuns(t *testing.T) {
+	play(t, func(w *world) {
+		n := w.start("n0")
+		fast, slow := w.worker("i-1", "a", false), w.worker("i-2", "a", false)
+		s := spec("job-1", 12)
+		s.EstimateS = 5
+		w.submit(n, s)
+		restarts := 0
+		for second := range 60 {
+			for _, k := range []*worker{fast, slow} {
+				for _, o := range k.report(n) {
+					if o.Verb == api.VerbStop {
+						restarts++
+						w.same("on the slow machine", k == slow, true)
+					}
+				}
+			}
+			// Tasks of the fast machine take 8 s, more than the estimate; of
+			// the slow one, for ever.
+			if second%8 == 7 {
+				fast.exit(api.CauseDone)
+			}
+			if second == 10 {
+				w.same("nothing restarted yet", restarts, 0)
+			}
+			time.Sleep(time.Second)
+		}
+		w.same("restarts", restarts, 4)
+		w.same("phase", w.phase(n, "job-1"), "done")
+	})
+	play(t, func(w *world) {
+		n := w.start("n0")
+		ks := []*worker{w.worker("i-1", "a", false), w.worker("i-2", "a", false)}
+		s := spec("job-1", 8)
+		s.EstimateS = 3
+		w.submit(n, s)
+		for range 40 {
+			for _, k := range ks {
+				for _, o := range k.report(n) {
+					w.same("stopped", o.Verb == api.VerbStop, false)
+				}
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
--- /dev/null
+++ b/internal/controller/slow.go
@@ -0,0 +1,117 @@
+package controller
+
+import "time"
+
+const (
+	// overdueTimes is how many estimates a run may take before it is overdue.
+	overdueTimes = 2
+	// beyondOthers is by how much an overdue run must exceed the longest run
+	// of the job's other members.
+	beyondOthers = 1.5
+	// sampleRuns is how many runs elsewhere a comparison needs.
+	sampleRuns = 3
+	// slowRatio marks a machine whose runs take this many times as long as
+	// the same jobs' runs elsewhere, over at least slowRuns of them.
+	slowRatio = 1.6
+	slowRuns  = 4
+)
+
+// runs is what a member has completed of a job.
+type runs struct {
+	n       int
+	sum     time.Duration
+	longest time.Duration
+	overran int
+}
+
+// elsewhere adds up what the job's other members have completed.
+func (j *job) elsewhere(m *machine) (all runs) {
+	for name, o := range j.runs {
+		if name != m.name {
+			all.n += o.n
+			all.sum += o.sum
+			all.longest = max(all.longest, o.longest)
+			all.overran += o.overran
+		}
+	}
+	return all
+}
+
+// ran takes in how long a completed run took, and quarantines a machine whose
+// runs take much longer than the same jobs' elsewhere.
+func (r *reign) ran(a *attempt, took time.Duration, now time.Time) {
+	j, m := a.job, a.machine
+	j.longest = max(j.longest, took)
+	mine := j.runs[m.name]
+	if mine == nil {
+		mine = &runs{}
+		j.runs[m.name] = mine
+	}
+	mine.n++
+	mine.sum += took
+	mine.longest = max(mine.longest, took)
+	if took > overdueTimes*j.spec.Estimate() {
+		mine.overran++
+	}
+	others := j.elsewhere(m)
+	if others.n < sampleRuns || took < time.Second {
+		return // a result that was kept comes at once and says nothing
+	}
+	ratio := float64(took) * float64(others.n) / float64(max(others.sum, time.Second))
+	m.slowRuns++
+	m.slowness += (ratio - m.slowness) / float64(min(m.slowRuns, 2*slowRuns))
+	if m.slowRuns >= slowRuns && m.slowness > slowRatio && !m.leaving {
+		r.c.Log.Info("machine quarantined", "machine", m.name, "slowness", m.slowness)
+		r.leave(m, "slow")
+		for _, o := range m.attempts {
+			if !o.exited && o.job != nil && o.job.spec.CheckpointS > 0 {
+				r.stop(o, 2*o.job.spec.Save()+time.Second, now)
+			}
+		}
+	}
+}
+
+// scanOverdue restarts, once, a run past twice its estimate when its machine's
+// other tasks of the job overran as well and those on other machines did not.
+// Estimates are often too low for the whole job, and then all its tasks cross
+// the limit together: so the run must also exceed by half the longest that any
+// other member took, or it would be thrown away near its end.
+func (r *reign) scanOverdue(now time.Time) {
+	for _, j := range r.jobs {
+		limit := overdueTimes * j.spec.Estimate()
+		if limit <= 0 || len(j.live) == 0 || len(j.runs) == 0 {
+			continue
+		}
+		for _, a := range j.live {
+			m := a.machine
+			took := now.Sub(a.runningAt)
+			if a.exited || a.stop != nil || a.runningAt.IsZero() || took <= limit || j.restarted[a.task] {
+				continue
+			}
+			others := j.elsewhere(m)
+			if others.n < sampleRuns || others.overran > 0 || float64(took) < beyondOthers*float64(others.longest) ||
+				j.overranOn(m, limit, now) < 2 {
+				continue
+			}
+			j.restarted[a.task] = true
+			j.barred[a.task] = m.name
+			r.c.Log.Info("slow run restarted", "task", a.key.ref, "machine", m.name)
+			r.stop(a, j.spec.Save()*2, now)
+		}
+	}
+}
+
+// overranOn counts a member's runs of the job past the limit, the present ones
+// included.
+func (j *job) overranOn(m *machine, limit time.Duration, now time.Time) int {
+	n := 0
+	if done := j.runs[m.name]; done != nil {
+		n = done.overran
+	}
+	for _, a := range j.live {
+		if a.machine == m && !a.exited && !a.runningAt.IsZero() && now.Sub(a.runningAt) > limit {
+			n++
+		}
+	}
+	return n
+}
