--- a/internal/policy/defaults.star
+++ b/internal/policy/defaults.star
@@ -8,14 +8,14 @@
 use_spot = True
 
 # Part of the demand that is kept free on top of it.
-headroom = 0.1
+headroom = 0.05
 
 # CPUs that are kept rented even when nothing waits.
 min_cpus = 0.0
 
 # How long, in seconds, machines are kept for a burst like the last: what was
 # needed at most within this time counts as needed.
-hold_s = 40.0
+hold_s = 30.0
 
 # How long, in seconds, a machine stays empty before it is given back.
 idle_return_s = 12.0
