--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -300,24 +300,40 @@
 	return orders
 }
 
-// pick chooses the job whose flight this machine serves next: the teams in
-// turn by shares, first for what their guarantees cover, then for what they
-// borrow.
+// pick chooses the job whose flight this machine serves next. What the teams'
+// guarantees cover comes first: no team waits for another there, so the job
+// that must begin soonest is taken. What they borrow is served by the teams in
+// turn by shares.
 func (r *reign) pick(m *machine, now time.Time) *job {
 	if m.freeCPUs() < slack && m.gpus <= m.usedGPUs {
 		return nil
 	}
+	var best *job
+	for _, t := range r.turns {
+		j := r.first(t, m, true, now)
+		if j != nil && (best == nil || queue.Before(j, best)) {
+			best = j
+		}
+	}
+	if best != nil {
+		return best
+	}
 	queue.Turns(r.turns)
-	for _, guaranteed := range []bool{true, false} {
-		for _, t := range r.turns {
-			for _, j := range t.Items() {
-				if j.flight.Untaken() == 0 || t.Guaranteed(j.spec.CPUs, j.spec.GPUs) != guaranteed {
-					continue
-				}
-				if r.eligible(j, m, now) && !r.betterElsewhere(j, m, now) {
-					return j
-				}
-			}
+	for _, t := range r.turns {
+		if j := r.first(t, m, false, now); j != nil {
+			return j
+		}
+	}
+	return nil
+}
+
+// first is the first job of a team's queue that this machine may serve, among
+// those whose next task is within the guarantee or among the others.
+func (r *reign) first(t *queue.Team[*job], m *machine, guaranteed bool, now time.Time) *job {
+	for _, j := range t.Items() {
+		if j.flight.Untaken() > 0 && t.Guaranteed(j.spec.CPUs, j.spec.GPUs) == guaranteed &&
+			r.eligible(j, m, now) && !r.betterElsewhere(j, m, now) {
+			return j
 		}
 	}
 	return nil
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -44,15 +44,20 @@
 // Items are the jobs in the order in which they are served.
 func (t *Team[T]) Items() []T {
 	if !t.sorted {
-		slices.SortFunc(t.items, func(a, b T) int {
-			return cmp.Or(boolCompare(a.Hopeless(), b.Hopeless()), a.Latest().Compare(b.Latest()),
-				cmp.Compare(a.Rank(), b.Rank()), cmp.Compare(a.ID(), b.ID()))
-		})
+		slices.SortFunc(t.items, compare[T])
 		t.sorted = true
 	}
 	return t.items
 }
 
+func compare[T Item](a, b T) int {
+	return cmp.Or(boolCompare(a.Hopeless(), b.Hopeless()), a.Latest().Compare(b.Latest()),
+		cmp.Compare(a.Rank(), b.Rank()), cmp.Compare(a.ID(), b.ID()))
+}
+
+// Before tells whether a is served before b where no shares decide.
+func Before[T Item](a, b T) bool { return compare(a, b) < 0 }
+
 func boolCompare(a, b bool) int {
 	switch {
 	case a == b:
