Followers keep machines alive, for a bounded time, while the leader is out of reach

Cause: in a zone cut all tasks beyond it were killed by their leases after 10 s and the machines given back after 12 s. A store that is reachable from the cut zone prolongs it; bounded by the time that a cancellation has.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -24,6 +24,8 @@
 type PeerAsker interface {
 	// Job returns ErrUnavailable when the node cannot answer.
 	Job(ctx context.Context, node, id string) (api.JobState, error)
+	// Ping returns the term in which the node leads, or 0, if it can be reached.
+	Ping(ctx context.Context, node string) (uint64, error)
 }
 
 // Config is what a controller is made of.
@@ -48,6 +50,7 @@
 	// The rest belongs to the owner goroutine.
 	leader string
 	reign  *reign
+	keep   keeper
 	final  *lru.Cache[string, api.JobState]
 }
 
@@ -74,6 +77,9 @@
 // Run owns the state until the context ends.
 func (c *Controller) Run(ctx context.Context) {
 	go c.refreshTypes(ctx)
+	if c.Peers != nil {
+		go c.watchLeader(ctx)
+	}
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
@@ -291,6 +297,10 @@
 		if leader == c.Settings.Node {
 			leader = ""
 		}
+		if ans, ok := c.keep.answer(m.rep, leader, c.keepFor(), time.Now()); ok && c.reign == nil {
+			m.reply <- reportReply{ans: ans}
+			return
+		}
 		m.reply <- reportReply{err: &api.NotLeaderError{Leader: leader}}
 		return
 	}
--- /dev/null
+++ b/internal/controller/keep.go
@@ -0,0 +1,288 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/config"
+	"example.org/ivytrestle/internal/election"
+	"example.org/ivytrestle/internal/store"
+)
+
+// keeper answers reports in the leader's stead while the leader cannot be
+// reached from here, so that the machines on this side of a cut, or those of a
+// leader that restarts, do not kill their tasks. It starts nothing: its
+// answers renew the lease under the leader's term, and stop the tasks of jobs
+// that are over, since a cancellation must reach them in time.
+//
+// It is entitled to that for a bounded time after the leader's last answer to a
+// ping, or after the store has shown that the leader's term is the present one:
+// a job that is cancelled later than that is still gone from the machines in
+// time, because their leases have ended by then. A later leader treats the
+// machines as unheard until they report to it, so nothing is started twice.
+type keeper struct {
+	leader   string
+	term     uint64
+	verified time.Time
+	// away is set while the leader cannot be reached.
+	away bool
+	// active are the active jobs as the store last showed; nil: not known.
+	active map[string]bool
+	hosts  map[string]time.Time
+}
+
+const (
+	pingEvery   = time.Second
+	pingTimeout = 800 * time.Millisecond
+	// keptFor is how long the leader relies on what another node published.
+	keptFor = 8 * time.Second
+	// keepMargin is kept back of the time that a cancellation has.
+	keepMargin = 3 * time.Second
+)
+
+// keepFor is how long after it was last verified a term may be kept up here.
+func (c *Controller) keepFor() time.Duration {
+	w := c.Settings.Site.Workers
+	return config.Seconds(w.CancelS) - w.Lease() - 2*w.Report() - keepMargin
+}
+
+// answer answers a report in the leader's stead, if this node may.
+func (k *keeper) answer(rep *api.Report, leader string, keepFor time.Duration, now time.Time) (api.ReportAnswer, bool) {
+	if !k.away || leader == "" || leader != k.leader || now.Sub(k.verified) > keepFor || rep.Term != k.term || k.term == 0 {
+		return api.ReportAnswer{}, false
+	}
+	ans := api.ReportAnswer{Term: k.term, Orders: []api.Order{}}
+	for _, t := range rep.Tasks {
+		id, _, _ := splitRef(t.Task)
+		if k.active != nil && t.Phase != api.TaskExited && !k.active[id] && len(ans.Orders) < maxOrders {
+			grace := 0.0
+			ans.Orders = append(ans.Orders, api.Order{Verb: api.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: &grace})
+		}
+	}
+	k.hosts[rep.Machine] = now
+	return ans, true
+}
+
+// watchLeader pings the leader, and while it cannot be reached keeps what the
+// keeper must know up to date.
+func (c *Controller) watchLeader(ctx context.Context) {
+	failed := 0
+	for ctx.Err() == nil {
+		pause(ctx, pingEvery)
+		ask := askLeaderMsg{reply: make(chan keepAsk, 1)}
+		if c.send(ctx, ask) != nil {
+			return
+		}
+		var a keepAsk
+		select {
+		case a = <-ask.reply:
+		case <-ctx.Done():
+			return
+		}
+		if a.leader == "" || a.leader == c.Settings.Node {
+			failed = 0
+			continue
+		}
+		sent := time.Now()
+		pctx, cancel := context.WithTimeout(ctx, pingTimeout)
+		term, err := c.Peers.Ping(pctx, a.leader)
+		cancel()
+		if err == nil || errors.Is(err, api.ErrUnavailable) {
+			failed = 0
+			if c.send(ctx, verifiedMsg{leader: a.leader, term: term, at: sent}) != nil {
+				return
+			}
+			continue
+		}
+		if failed++; failed < 2 {
+			continue
+		}
+		if c.send(ctx, awayMsg{a.leader}) != nil {
+			return
+		}
+		m, err := c.verifyTerm(ctx, a)
+		if err != nil {
+			c.Log.Debug("leader not reached, term not verified", "err", err)
+			continue
+		}
+		if c.send(ctx, m) != nil {
+			return
+		}
+	}
+}
+
+// verifyTerm reads from the store whether a leader still leads and which jobs
+// are active, and publishes which machines are kept alive here.
+func (c *Controller) verifyTerm(ctx context.Context, a keepAsk) (m verifiedMsg, err error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	m = verifiedMsg{leader: a.leader, at: time.Now(), active: map[string]bool{}}
+	lead, err := c.Store.Get(ctx, election.LeaderKey)
+	if err != nil {
+		return m, err
+	}
+	var h election.Holder
+	if err := json.Unmarshal(lead.Value, &h); lead.Mark == 0 || err != nil || h.Node != a.leader {
+		return m, fmt.Errorf("%s does not lead: %w", a.leader, api.ErrUnavailable)
+	}
+	term, err := c.Store.Get(ctx, election.TermKey)
+	if err != nil {
+		return m, err
+	}
+	var tv election.TermValue
+	if err := json.Unmarshal(term.Value, &tv); err != nil {
+		return m, fmt.Errorf("term key: %w", err)
+	}
+	m.term = tv.Number
+	for from := ""; ; {
+		p, err := c.Store.Range(ctx, store.ActivePrefix, from, 500)
+		if err != nil {
+			return m, err
+		}
+		for _, e := range p.Rows {
+			m.active[strings.TrimPrefix(e.Key, store.ActivePrefix)] = true
+			from = e.Key
+		}
+		if !p.More || len(p.Rows) == 0 {
+			break
+		}
+	}
+	if len(a.hosts) > 0 {
+		rec := store.KeepRecord{Term: m.term, Hosts: a.hosts}
+		txn := store.Txn{Guards: []store.Guard{{Key: election.TermKey, Mark: term.Mark}},
+			Ops: []store.Op{{Put: store.KeepPrefix + c.Settings.Node, Value: rec}}}
+		if _, err := c.Store.Txn(ctx, txn); err != nil {
+			c.Log.Debug("kept machines not published", "err", err)
+		}
+	}
+	return m, nil
+}
+
+// askLeaderMsg asks the owner whom it follows and whose machines it keeps.
+type askLeaderMsg struct{ reply chan keepAsk }
+
+type keepAsk struct {
+	leader string
+	hosts  []string
+}
+
+func (m askLeaderMsg) apply(c *Controller) {
+	a := keepAsk{leader: c.leader}
+	now := time.Now()
+	for name, seen := range c.keep.hosts {
+		if now.Sub(seen) > keptFor {
+			delete(c.keep.hosts, name)
+			continue
+		}
+		a.hosts = append(a.hosts, name)
+	}
+	m.reply <- a
+}
+
+// awayMsg says that the leader cannot be reached.
+type awayMsg struct{ leader string }
+
+func (m awayMsg) apply(c *Controller) {
+	k := &c.keep
+	if k.leader == m.leader && !k.away {
+		c.Log.Info("leader not reached, keeping its machines alive", "leader", m.leader, "term", k.term)
+		k.away, k.hosts = true, map[string]time.Time{}
+	}
+}
+
+// verifiedMsg brings the leader's answer to a ping, or with the active jobs
+// what the store showed.
+type verifiedMsg struct {
+	leader string
+	term   uint64
+	active map[string]bool
+	at     time.Time
+}
+
+func (m verifiedMsg) apply(c *Controller) {
+	k := &c.keep
+	if m.active == nil {
+		*k = keeper{leader: m.leader, term: m.term, verified: m.at}
+		return
+	}
+	if k.leader == m.leader && k.term == m.term {
+		k.active, k.verified = m.active, m.at
+	} else {
+		*k = keeper{} // another term has begun
+	}
+}
+
+// Term is the term in which this node leads at this moment, or 0.
+func (c *Controller) Term(ctx context.Context) (uint64, error) {
+	m := termMsg{make(chan uint64, 1)}
+	if err := c.send(ctx, m); err != nil {
+		return 0, err
+	}
+	select {
+	case term := <-m.reply:
+		return term, nil
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+type termMsg struct{ reply chan uint64 }
+
+func (m termMsg) apply(c *Controller) {
+	if c.valid() {
+		m.reply <- c.reign.term.Number
+		return
+	}
+	m.reply <- 0
+}
+
+// readKept reads which machines other nodes keep alive, every few seconds.
+func (r *reign) readKept(now time.Time) {
+	if now.Sub(r.keptRead) < 2*time.Second {
+		return
+	}
+	r.keptRead = now
+	go func() {
+		ctx, cancel := context.WithTimeout(r.ctx, 2*time.Second)
+		defer cancel()
+		p, err := r.c.Store.Range(ctx, store.KeepPrefix, "", 100)
+		if err != nil {
+			r.c.Log.Debug("kept machines not read", "err", err)
+			return
+		}
+		r.post(keptMsg{r, p.Rows})
+	}()
+}
+
+type keptMsg struct {
+	r    *reign
+	rows []store.Entry
+}
+
+func (m keptMsg) apply(c *Controller) {
+	r := m.r
+	if c.reign != r {
+		return
+	}
+	now := time.Now()
+	for _, e := range m.rows {
+		if r.keptMarks[e.Key] == e.Mark {
+			continue // not renewed since it was last read
+		}
+		r.keptMarks[e.Key] = e.Mark
+		var rec store.KeepRecord
+		if err := json.Unmarshal(e.Value, &rec); err != nil || rec.Term != r.term.Number {
+			continue
+		}
+		for _, name := range rec.Hosts {
+			if mc := r.machines[name]; mc != nil {
+				mc.kept = now.Add(keptFor)
+			}
+		}
+	}
+}
--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -162,9 +162,11 @@
 	// nextProbe and probeFails belong to the watch over silent machines.
 	nextProbe  time.Time
 	probeFails int
-	since      time.Time
-	idle       time.Time
-	reclaim    time.Time
+	// kept is until when another node is known to keep the machine alive.
+	kept    time.Time
+	since   time.Time
+	idle    time.Time
+	reclaim time.Time
 
 	attempts map[attemptKey]*attempt
 	foreign  int
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -54,6 +54,9 @@
 	renter   renter
 	nextScan time.Time
 	lastTick time.Time
+	// What other nodes keep alive was last read at keptRead, at keptMarks.
+	keptRead  time.Time
+	keptMarks map[string]uint64
 }
 
 type expected struct {
@@ -78,6 +81,7 @@
 		jobs: map[string]*job{}, teams: map[string]*queue.Team[*job]{},
 		machines: map[string]*machine{}, expected: map[string]*expected{}, returned: returned,
 	}
+	r.keptMarks = map[string]uint64{}
 	r.confirm.r = r
 	r.recorder.init(r)
 	r.renter.init(r)
--- a/internal/controller/rules_test.go
+++ b/internal/controller/rules_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -655,3 +656,76 @@
 		}
 	})
 }
+
+// links connects nodes as peers; it can be cut.
+type links struct {
+	nodes map[string]*node
+	cut   atomic.Bool
+}
+
+func (l *links) Job(ctx context.Context, name, id string) (api.JobState, error) {
+	if l.cut.Load() {
+		return api.JobState{}, errors.New("cut")
+	}
+	return l.nodes[name].PeerJob(ctx, id)
+}
+
+func (l *links) Ping(ctx context.Context, name string) (uint64, error) {
+	if l.cut.Load() {
+		return 0, errors.New("cut")
+	}
+	return l.nodes[name].Term(ctx)
+}
+
+// While the leader is behind a cut a node on the workers' side keeps their
+// leases alive, but not so long that a cancellation could come too late for
+// their tasks, and it starts nothing.
+func TestFollowerKeepsMachinesAlive(t *testing.T) {
+	for _, storeToo := range []bool{false, true} {
+		play(t, func(w *world) {
+			l := &links{nodes: map[string]*node{}}
+			g := &gate{Fake: w.store}
+			a := w.startWith("n0", w.store, l)
+			l.nodes["n0"] = a
+			b := w.startWith("n1", g, l)
+			l.nodes["n1"] = b
+			k := w.worker("i-1", "a", false)
+			w.submit(a, spec("job-1", 2))
+			k.serve(a, 4)
+			w.same("running", len(k.running()), 2)
+			if _, err := k.send(b); err == nil {
+				t.Error("a follower answered without need")
+			}
+			w.submit(a, spec("job-2", 1))
+			l.cut.Store(true)
+			g.set(storeToo)
+			time.Sleep(4 * time.Second)
+			kept := 0
+			for range 40 {
+				orders, err := k.send(b)
+				if err != nil {
+					break
+				}
+				w.same("orders", len(orders), 0)
+				kept++
+				time.Sleep(time.Second)
+			}
+			// 30 s are for a cancellation, 10 s are the lease.
+			if storeToo && (kept < 8 || kept > 16) || !storeToo && kept != 40 {
+				t.Errorf("store out of reach %v: kept for %d s", storeToo, kept)
+			}
+			if !storeToo {
+				if _, err := a.Abort(context.Background(), "job-1"); err != nil {
+					t.Error(err)
+				}
+				k.serve(b, 5)
+				w.same("stopped", len(k.running()), 0)
+			}
+			l.cut.Store(false)
+			time.Sleep(3 * time.Second)
+			if _, err := k.send(b); err == nil {
+				t.Error("answered after the cut")
+			}
+		})
+	}
+}
--- a/internal/controller/silence.go
+++ b/internal/controller/silence.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"example.org/ivytrestle/internal/config"
 )
 
 // Prober asks a machine directly whether it is alive.
@@ -24,8 +26,8 @@
 // dead is noticed after a missed report and two probes that failed; waiting
 // for its lease would cost its tasks that much more, and a new leader that
 // waits for it to be heard can start nothing old. Where most of a zone is
-// silent at once, the network is the more likely cause: its machines are given
-// the time of their lease, after which their tasks have ended anyway.
+// silent at once, the network is the more likely cause, and a node on the other
+// side may keep them alive: they are given the time in which even that ends.
 func (r *reign) silences(now time.Time) {
 	w := r.c.Settings.Site.Workers
 	suspect := func(m *machine) bool {
@@ -50,8 +52,14 @@
 		}
 		r.probe(m, now)
 		cut := quiet[m.zone] >= 3 && quiet[m.zone]*5 > all[m.zone]*3
+		if cut {
+			r.readKept(now)
+		}
 		switch silent := now.Sub(m.lastSeen); {
-		case silent > w.Lease()+2*w.Report():
+		case now.Before(m.kept):
+			continue
+		case silent > w.Lease()+2*w.Report() && !cut:
+		case silent > config.Seconds(w.CancelS):
 		case m.probeFails >= deadAfter && !cut:
 		default:
 			continue
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -85,7 +86,7 @@
 	go c.Run(ctx)
 	go cand.Run(ctx)
 	failed := make(chan error, 2)
-	go func() { failed <- peer.Serve(ctx, peerLn, answerPeer(c), log) }()
+	go func() { failed <- peer.Serve(ctx, peerLn, peerHandler{c}, log) }()
 	srv := &http.Server{
 		Handler:           api.Handler(c, log),
 		ReadHeaderTimeout: 10 * time.Second,
@@ -108,22 +109,26 @@
 	}
 }
 
-// answerPeer answers other nodes' questions from the controller.
-func answerPeer(c *controller.Controller) peer.Handler {
-	return func(ctx context.Context, id string) (*peer.JobStatus, error) {
-		ctx, cancel := context.WithTimeout(ctx, 1200*time.Millisecond)
-		defer cancel()
-		st, err := c.PeerJob(ctx, id)
-		if err == api.ErrUnknownJob {
-			return &peer.JobStatus{}, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-		return &peer.JobStatus{Known: true, Phase: st.Phase, Done: uint32(st.Done), Running: uint32(st.Running)}, nil
+// peerHandler answers other nodes' questions from the controller.
+type peerHandler struct{ c *controller.Controller }
+
+// Job implements peer.Handler.
+func (h peerHandler) Job(ctx context.Context, id string) (*peer.JobStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, 1200*time.Millisecond)
+	defer cancel()
+	st, err := h.c.PeerJob(ctx, id)
+	if errors.Is(err, api.ErrUnknownJob) {
+		return &peer.JobStatus{}, nil
 	}
+	if err != nil {
+		return nil, err
+	}
+	return &peer.JobStatus{Known: true, Phase: st.Phase, Done: uint32(st.Done), Running: uint32(st.Running)}, nil
 }
 
+// Term implements peer.Handler.
+func (h peerHandler) Term(ctx context.Context) (uint64, error) { return h.c.Term(ctx) }
+
 // peers asks the other nodes.
 type peers map[string]*peer.Client
 
@@ -150,3 +155,12 @@
 	}
 	return api.JobState{ID: id, Phase: st.Phase, Done: int(st.Done), Running: int(st.Running)}, nil
 }
+
+// Ping implements controller.PeerAsker.
+func (p peers) Ping(ctx context.Context, node string) (uint64, error) {
+	cl := p[node]
+	if cl == nil {
+		return 0, api.ErrUnavailable
+	}
+	return cl.Ping(ctx)
+}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -36,7 +36,8 @@
 	Incarnation string `json:"incarnation"`
 }
 
-type termValue struct {
+// TermValue is the value of the term key.
+type TermValue struct {
 	Number uint64 `json:"number"`
 }
 
@@ -133,7 +134,7 @@
 	if err != nil {
 		return err
 	}
-	var tv termValue
+	var tv TermValue
 	if old.Mark != 0 {
 		if err := json.Unmarshal(old.Value, &tv); err != nil {
 			return fmt.Errorf("term key: %w", err)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -23,9 +23,13 @@
 // ErrUnable means that the peer is not entitled to answer.
 var ErrUnable = errors.New("peer: not entitled to answer")
 
-// Handler answers a peer's question about a job. An error tells the peer that
-// this node is unable to answer.
-type Handler func(ctx context.Context, id string) (*JobStatus, error)
+// Handler answers a peer's questions. An error tells the peer that this node is
+// unable to answer.
+type Handler interface {
+	Job(ctx context.Context, id string) (*JobStatus, error)
+	// Term is the term in which this node leads at this moment, or 0.
+	Term(ctx context.Context) (uint64, error)
+}
 
 // maxInFlight bounds the questions of one connection that are being answered.
 const maxInFlight = 64
@@ -65,8 +69,13 @@
 		go func() {
 			defer func() { <-slots }()
 			resp := &Response{Seq: req.Seq, Unable: true}
+			if req.GetPing() != nil {
+				if term, err := h.Term(ctx); err == nil {
+					resp.Unable, resp.Term = false, term
+				}
+			}
 			if q := req.GetJob(); q != nil {
-				if st, err := h(ctx, q.Id); err == nil {
+				if st, err := h.Job(ctx, q.Id); err == nil {
 					resp.Unable, resp.Job = false, st
 				}
 			}
@@ -125,15 +134,36 @@
 
 // Job asks the peer about a job.
 func (c *Client) Job(ctx context.Context, id string) (*JobStatus, error) {
+	resp, err := c.ask(ctx, &Request{Kind: &Request_Job{Job: &JobQuery{Id: id}}})
+	if err != nil {
+		return nil, err
+	}
+	if resp.Job == nil {
+		return nil, ErrUnable
+	}
+	return resp.Job, nil
+}
+
+// Ping returns the term in which the peer leads, or 0, if it can be reached.
+func (c *Client) Ping(ctx context.Context) (uint64, error) {
+	resp, err := c.ask(ctx, &Request{Kind: &Request_Ping{Ping: &Ping{}}})
+	if err != nil {
+		return 0, err
+	}
+	return resp.Term, nil
+}
+
+func (c *Client) ask(ctx context.Context, req *Request) (*Response, error) {
 	ch := make(chan *Response, 1)
 	conn, seq, err := c.register(ctx, ch)
 	if err != nil {
 		return nil, err
 	}
 	defer c.unregister(seq)
+	req.Seq = seq
 	c.mu.Lock()
 	conn.SetWriteDeadline(time.Now().Add(time.Second))
-	err = write(conn, &Request{Seq: seq, Kind: &Request_Job{Job: &JobQuery{Id: id}}})
+	err = write(conn, req)
 	c.mu.Unlock()
 	if err != nil {
 		c.drop(conn)
@@ -144,10 +174,10 @@
 		if resp == nil {
 			return nil, errors.New("peer: connection lost")
 		}
-		if resp.Unable || resp.Job == nil {
+		if resp.Unable {
 			return nil, ErrUnable
 		}
-		return resp.Job, nil
+		return resp, nil
 	case <-ctx.Done():
 		// A peer that has stopped answering is passed over for a while, so
 		// that users do not wait for it one after the other.
--- a/internal/store/records.go
+++ b/internal/store/records.go
@@ -20,6 +20,7 @@
 	FinalPrefix    = "f/"
 	ProgressPrefix = "p/"
 	MachinePrefix  = "m/"
+	KeepPrefix     = "keep/"
 	TypesKey       = "types"
 	// CancelKey changes in every transaction that cancels a job. It lies under
 	// ActivePrefix, so a watch shows it together with the jobs cancelled.
@@ -54,6 +55,13 @@
 	MemoryGB float64 `json:"memory_gb"`
 }
 
+// KeepRecord names the machines whose leases a node keeps alive for a leader
+// that cannot reach them.
+type KeepRecord struct {
+	Term  uint64   `json:"term"`
+	Hosts []string `json:"hosts"`
+}
+
 // ProgressKey is the key of the part of a job's progress that begins at task.
 func ProgressKey(id string, task int) string {
 	return ProgressPrefix + id + "/" + strconv.Itoa(task)
