--- a/cmd/ivytrestle/main.go
+++ b/cmd/ivytrestle/main.go
@@ -3,37 +3,63 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/alecthomas/kong"
 
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/client"
 	"example.org/ivytrestle/internal/config"
 	"example.org/ivytrestle/internal/daemon"
 	"example.org/ivytrestle/internal/policy"
 )
 
-var version = "0.1.0"
+const version = "0.1.0"
 
 type cli struct {
-	Serve   serveCmd         `cmd:"" default:"withargs" help:"Run a controller."`
-	Version kong.VersionFlag `help:"Print the version and exit."`
+	Serve   serveCmd   `cmd:"" default:"withargs" help:"Run a controller."`
+	Check   checkCmd   `cmd:"" help:"Check a settings file and an operators' script."`
+	Submit  submitCmd  `cmd:"" help:"Submit a job."`
+	Show    showCmd    `cmd:"" help:"Show a job."`
+	Cancel  cancelCmd  `cmd:"" help:"Cancel a job."`
+	Status  statusCmd  `cmd:"" help:"Show a controller's own view: leader, machines, queues."`
+	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
-type serveCmd struct {
-	Config string `required:"" type:"path" placeholder:"FILE" help:"The platform's settings file (JSON)."`
-	Policy string `type:"path" placeholder:"FILE" help:"The operators' settings (Starlark)."`
+// files are the settings that a controller starts from.
+type files struct {
+	Config string `required:"" placeholder:"FILE" help:"The platform's settings file (JSON)."`
+	Policy string `placeholder:"FILE" help:"The operators' settings (Starlark)."`
 }
 
-func (s *serveCmd) Run() error {
-	settings, err := config.Load(s.Config)
+func (f *files) load() (*config.Settings, *policy.Policy, error) {
+	s, err := config.Load(f.Config)
 	if err != nil {
-		return err
+		return nil, nil, err
+	}
+	p, err := policy.Load(f.Policy)
+	if err != nil {
+		return nil, nil, err
 	}
-	pol, err := policy.Load(s.Policy)
+	for team := range p.Shares {
+		if !s.Site.HasTeam(team) {
+			return nil, nil, fmt.Errorf("policy %s: team_shares names %q, which is no team of this site", f.Policy, team)
+		}
+	}
+	return s, p, nil
+}
+
+type serveCmd struct{ files }
+
+func (c *serveCmd) Run() error {
+	settings, pol, err := c.load()
 	if err != nil {
 		return err
 	}
@@ -42,9 +68,94 @@
 	return daemon.Run(ctx, settings, pol, daemon.Logger(os.Stderr, os.Getenv("LOG_LEVEL")))
 }
 
+type checkCmd struct{ files }
+
+func (c *checkCmd) Run() error {
+	s, _, err := c.load()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: good (%d teams, %d other controllers)\n", s.Node, len(s.Site.Teams), len(s.Peers))
+	return nil
+}
+
+// remote is a controller's address.
+type remote struct {
+	Addr string `required:"" env:"IVYTRESTLE_ADDR" placeholder:"HOST:PORT" help:"A controller's address."`
+}
+
+type submitCmd struct {
+	remote
+	File string `arg:"" help:"The job as JSON; - is standard input."`
+}
+
+func (c *submitCmd) Run() error {
+	var raw []byte
+	var err error
+	if c.File == "-" {
+		raw, err = io.ReadAll(io.LimitReader(os.Stdin, api.MaxBody+1))
+	} else {
+		raw, err = os.ReadFile(c.File)
+	}
+	if err != nil {
+		return fmt.Errorf("job: %w", err)
+	}
+	st, err := client.New(c.Addr).Submit(context.Background(), raw)
+	return printState(st, err)
+}
+
+type showCmd struct {
+	remote
+	ID string `arg:"" help:"The job's id."`
+}
+
+func (c *showCmd) Run() error {
+	st, err := client.New(c.Addr).Show(context.Background(), c.ID)
+	return printState(st, err)
+}
+
+type cancelCmd struct {
+	remote
+	ID string `arg:"" help:"The job's id."`
+}
+
+func (c *cancelCmd) Run() error {
+	st, err := client.New(c.Addr).Cancel(context.Background(), c.ID)
+	return printState(st, err)
+}
+
+type statusCmd struct{ remote }
+
+func (c *statusCmd) Run() error {
+	raw, err := client.New(c.Addr).Status(context.Background())
+	if err != nil {
+		return err
+	}
+	var out bytes.Buffer
+	if err := json.Indent(&out, raw, "", "  "); err != nil {
+		return fmt.Errorf("status: %w", err)
+	}
+	fmt.Println(out.String())
+	return nil
+}
+
+type versionCmd struct{}
+
+func (versionCmd) Run() error {
+	fmt.Println("ivytrestle", version)
+	return nil
+}
+
+func printState(st api.JobState, err error) error {
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s %s: %d done, %d running\n", st.ID, st.Phase, st.Done, st.Running)
+	return nil
+}
+
 func main() {
-	k := kong.Parse(&cli{}, kong.Name("ivytrestle"),
-		kong.Description("A cluster scheduler for batch jobs."), kong.Vars{"version": version})
+	k := kong.Parse(&cli{}, kong.Name("ivytrestle"), kong.Description("A cluster scheduler for batch jobs."))
 	if err := k.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "ivytrestle:", err)
 		os.Exit(1)
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -49,6 +49,8 @@
 	return ReportAnswer{Term: 4, Orders: []Order{}}, nil
 }
 
+func (s *stub) Status(context.Context) (any, error) { return map[string]int{"term": 4}, nil }
+
 func (s *stub) Ready() bool { return !s.down }
 
 func call(t *testing.T, b Backend, method, path, body string) *httptest.ResponseRecorder {
--- a/internal/api/handlers.go
+++ b/internal/api/handlers.go
@@ -38,6 +38,8 @@
 	Abort(ctx context.Context, id string) (JobState, error)
 	Report(ctx context.Context, r *Report) (ReportAnswer, error)
 	Ready() bool
+	// Status is the operators' view of the node.
+	Status(ctx context.Context) (any, error)
 }
 
 // Times by which the senders give up, less what the answer's way takes.
@@ -57,6 +59,7 @@
 	mux.HandleFunc("POST /api/jobs/{id}/abort", s.abort)
 	mux.HandleFunc("POST /v1/report", s.report)
 	mux.HandleFunc("GET /ready", s.ready)
+	mux.HandleFunc("GET /status", s.status)
 	return mux
 }
 
@@ -73,6 +76,17 @@
 	s.answer(w, http.StatusOK, map[string]bool{"ready": true})
 }
 
+func (s *server) status(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), pollWait)
+	defer cancel()
+	st, err := s.b.Status(ctx)
+	if err != nil {
+		s.unavailable(w, err)
+		return
+	}
+	s.answer(w, http.StatusOK, st)
+}
+
 func (s *server) submit(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
 	if err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -219,3 +219,13 @@
 	}
 	return nil
 }
+
+// HasTeam tells whether the site has a team of that name.
+func (s *SiteInfo) HasTeam(name string) bool {
+	for _, t := range s.Teams {
+		if t.Name == name {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/controller/recorder.go
+++ b/internal/controller/recorder.go
@@ -99,7 +99,7 @@
 		ctx, cancel := context.WithTimeout(r.ctx, 2*time.Second)
 		defer cancel()
 		res, err := r.c.Store.Txn(ctx, b.txn)
-		r.post(recordedMsg{r, b, res, err})
+		r.post(recordedMsg{r, b, now, res, err})
 	}()
 }
 
@@ -211,10 +211,11 @@
 }
 
 type recordedMsg struct {
-	r   *reign
-	b   *batch
-	res store.Result
-	err error
+	r    *reign
+	b    *batch
+	sent time.Time
+	res  store.Result
+	err  error
 }
 
 func (m recordedMsg) apply(c *Controller) {
@@ -234,6 +235,7 @@
 		}
 		c.Log.Debug("records not written", "err", m.err)
 	case m.res.OK:
+		record(m.r.counts.recorded, now.Sub(m.sent))
 		w.recorded(m.b)
 	case m.r.superseded(m.res):
 	default:
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -52,6 +52,7 @@
 	confirm  confirmer
 	recorder recorder
 	renter   renter
+	counts   counters
 	nextScan time.Time
 	lastTick time.Time
 	// What other nodes keep alive was last read at keptRead, at keptMarks.
@@ -82,6 +83,7 @@
 		machines: map[string]*machine{}, expected: map[string]*expected{}, returned: returned,
 	}
 	r.keptMarks = map[string]uint64{}
+	r.counts = newCounters()
 	r.confirm.r = r
 	r.recorder.init(r)
 	r.renter.init(r)
@@ -411,6 +413,7 @@
 	}
 	j.done.Set(uint(task))
 	j.doneCount++
+	r.counts.done++
 	j.flight.Take(task)
 	if a := j.live[task]; a != nil && !a.exited {
 		r.stop(a, 0, now)
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -163,6 +163,7 @@
 		if a.job != nil {
 			if a.job.firstStart.IsZero() {
 				a.job.firstStart = now
+				record(r.counts.firstStart, now.Sub(a.job.accepted))
 			}
 			a.job.lastStart = now
 			a.machine.images[a.job.spec.Image] = now
@@ -218,6 +219,7 @@
 	delete(j.live, a.task)
 	if !j.done.Test(uint(a.task)) {
 		j.lost++
+		r.counts.lost++
 		j.flight.Release(a.task)
 	}
 }
@@ -295,6 +297,7 @@
 		m.attempts[a.key] = a
 		j.live[task] = a
 		a.charge(1)
+		r.counts.started++
 		orders = append(orders, api.Order{Verb: api.VerbStart, Task: a.key.ref, Attempt: a.key.id})
 	}
 	return orders
--- /dev/null
+++ b/internal/controller/status.go
@@ -0,0 +1,129 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"example.org/ivytrestle/internal/api"
+)
+
+// Status is the operators' view of a node.
+type Status struct {
+	Node    string        `json:"node"`
+	Leader  string        `json:"leader"`
+	Leading *LeaderStatus `json:"leading,omitempty"`
+}
+
+// LeaderStatus is what only the leader knows.
+type LeaderStatus struct {
+	Term       uint64       `json:"term"`
+	ValidS     float64      `json:"valid_s"`
+	Machines   int          `json:"machines"`
+	Unheard    int          `json:"unheard"`
+	Draining   int          `json:"draining"`
+	Leaving    int          `json:"leaving"`
+	Booting    int          `json:"booting"`
+	CPUs       float64      `json:"cpus"`
+	UsedCPUs   float64      `json:"used_cpus"`
+	Teams      []TeamStatus `json:"teams"`
+	Started    int64        `json:"started"`
+	Lost       int64        `json:"lost"`
+	Done       int64        `json:"done"`
+	FirstStart Latency      `json:"first_start_ms"`
+	Recorded   Latency      `json:"recorded_ms"`
+}
+
+// TeamStatus is one team's queue and use.
+type TeamStatus struct {
+	Name     string  `json:"name"`
+	Jobs     int     `json:"jobs"`
+	Waiting  int     `json:"waiting_tasks"`
+	UsedCPUs float64 `json:"used_cpus"`
+	CPUs     float64 `json:"guaranteed_cpus"`
+	CPUsMax  float64 `json:"limit_cpus"`
+}
+
+// Latency sums up a histogram, in milliseconds.
+type Latency struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50"`
+	P95   int64 `json:"p95"`
+	Max   int64 `json:"max"`
+}
+
+// counters are the leader's counts since its term began.
+type counters struct {
+	started, lost, done  int64
+	firstStart, recorded *hdrhistogram.Histogram
+}
+
+// longestLatency bounds the histograms.
+const longestLatency = 10 * time.Minute
+
+func newCounters() counters {
+	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, longestLatency.Milliseconds(), 2) }
+	return counters{firstStart: h(), recorded: h()}
+}
+
+// record adds a time to a histogram, cut to its bounds.
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// The bounds are the histogram's own, so this cannot fail.
+	_ = h.RecordValue(min(max(d.Milliseconds(), 1), h.HighestTrackableValue()))
+}
+
+func latency(h *hdrhistogram.Histogram) Latency {
+	return Latency{h.TotalCount(), h.ValueAtQuantile(50), h.ValueAtQuantile(95), h.Max()}
+}
+
+// Status implements api.Backend.
+func (c *Controller) Status(ctx context.Context) (any, error) {
+	m := statusMsg{make(chan Status, 1)}
+	if err := c.send(ctx, m); err != nil {
+		return nil, err
+	}
+	select {
+	case s := <-m.reply:
+		return s, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+type statusMsg struct{ reply chan Status }
+
+func (m statusMsg) apply(c *Controller) {
+	s := Status{Node: c.Settings.Node, Leader: c.leader}
+	if c.reign != nil {
+		s.Leading = c.reign.status(time.Now())
+	}
+	m.reply <- s
+}
+
+func (r *reign) status(now time.Time) *LeaderStatus {
+	s := &LeaderStatus{Term: r.term.Number, ValidS: max(0, r.until.Sub(now).Seconds()), Machines: len(r.machines),
+		Unheard: r.unheard, Booting: len(r.expected), Started: r.counts.started, Lost: r.counts.lost,
+		Done: r.counts.done, FirstStart: latency(r.counts.firstStart), Recorded: latency(r.counts.recorded)}
+	for _, m := range r.machines {
+		s.CPUs += m.cpus
+		s.UsedCPUs += m.usedCPUs
+		switch {
+		case m.leaving:
+			s.Leaving++
+		case m.draining:
+			s.Draining++
+		}
+	}
+	for _, t := range r.c.Settings.Site.Teams {
+		q := r.teams[t.Name]
+		ts := TeamStatus{Name: t.Name, Jobs: len(q.Items()), UsedCPUs: q.UsedCPUs, CPUs: q.CPUs, CPUsMax: q.CPUsMax}
+		for _, j := range q.Items() {
+			ts.Waiting += j.flight.Untaken()
+		}
+		s.Teams = append(s.Teams, ts)
+	}
+	return s
+}
+
+var _ api.Backend = (*Controller)(nil)
