--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -23,6 +23,7 @@
 	aims     []time.Time
 	latest   time.Time
 	hopeless bool
+	load     queue.Load
 	rank     int
 	team     *queue.Team[*job]
 
@@ -58,11 +59,21 @@
 	over      bool
 }
 
-// Rank, Latest, Hopeless and ID make a job an item of its team's queue.
+// Rank, Latest and ID make a job an item of its team's queue.
 func (j *job) Rank() int         { return j.rank }
 func (j *job) Latest() time.Time { return j.latest }
-func (j *job) Hopeless() bool    { return j.hopeless }
-func (j *job) ID() string        { return j.spec.ID }
+
+// Prospect makes a job an item of its team's queue.
+func (j *job) Prospect() queue.Prospect {
+	switch {
+	case j.hopeless:
+		return queue.Hopeless
+	case j.load.Defer:
+		return queue.Deferred
+	}
+	return queue.InTime
+}
+func (j *job) ID() string { return j.spec.ID }
 
 // look finds the next aim that can still be met by starting now.
 func (j *job) look(now time.Time) {
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -442,15 +442,48 @@
 		return
 	}
 	r.nextScan = now.Add(time.Second)
+	r.triage(now)
+	r.scanMachines(now)
+	r.scanOverdue(now)
+	r.renter.tick(now)
+}
+
+// maxTriage bounds the work of the triage.
+const maxTriage = 500
+
+// triage looks again at which jobs can be in time, and puts the queues in that
+// order.
+func (r *reign) triage(now time.Time) {
+	cpus := 0.0
+	for _, m := range r.machines {
+		if m.open(now) {
+			cpus += m.cpus
+		}
+	}
+	var loads []*queue.Load
 	for _, t := range r.turns {
 		for _, j := range t.Items() {
 			j.look(now)
+			j.load = queue.Load{}
+			if j.hopeless || j.finishing || len(loads) == maxTriage {
+				continue
+			}
+			j.load.Aim = j.latest.Add(j.spec.Estimate())
+			j.load.Work = float64(j.flight.Untaken()) * j.spec.CPUs * j.spec.EstimateS
+			for _, a := range j.live {
+				left := j.spec.Estimate()
+				if !a.runningAt.IsZero() {
+					left -= now.Sub(a.runningAt)
+				}
+				j.load.Work += max(0, left.Seconds()) * j.spec.CPUs
+			}
+			loads = append(loads, &j.load)
 		}
+	}
+	queue.Triage(loads, cpus, now)
+	for _, t := range r.turns {
 		t.Resort()
 	}
-	r.scanMachines(now)
-	r.scanOverdue(now)
-	r.renter.tick(now)
 }
 
 // deaf notices that this node could not hear its machines for a while: it may
--- a/internal/controller/silence.go
+++ b/internal/controller/silence.go
@@ -58,7 +58,9 @@
 		switch silent := now.Sub(m.lastSeen); {
 		case now.Before(m.kept):
 			continue
-		case silent > w.Lease()+2*w.Report() && !cut:
+		case silent > w.Lease()+2*w.Report() && (!cut || !m.heard):
+			// One not heard in this term holds every earlier job back, and
+			// nobody keeps it alive under an earlier term.
 		case silent > config.Seconds(w.CancelS):
 		case m.probeFails >= deadAfter && !cut:
 		default:
--- a/internal/controller/slow.go
+++ b/internal/controller/slow.go
@@ -12,8 +12,8 @@
 	sampleRuns = 3
 	// slowRatio marks a machine whose runs take this many times as long as
 	// the same jobs' runs elsewhere, over at least slowRuns of them.
-	slowRatio = 1.6
-	slowRuns  = 4
+	slowRatio = 1.7
+	slowRuns  = 8
 )
 
 // runs is what a member has completed of a job.
@@ -59,7 +59,7 @@
 	}
 	ratio := float64(took) * float64(others.n) / float64(max(others.sum, time.Second))
 	m.slowRuns++
-	m.slowness += (ratio - m.slowness) / float64(min(m.slowRuns, 2*slowRuns))
+	m.slowness += (ratio - m.slowness) / float64(min(m.slowRuns, slowRuns))
 	if m.slowRuns >= slowRuns && m.slowness > slowRatio && !m.leaving {
 		r.c.Log.Info("machine quarantined", "machine", m.name, "slowness", m.slowness)
 		r.leave(m, "slow")
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -10,8 +10,8 @@
 
 // Item is a job that waits.
 type Item interface {
-	// Hopeless tells that none of the job's aims can be met any more.
-	Hopeless() bool
+	// Prospect tells whether the job's aims can be met.
+	Prospect() Prospect
 	// Latest is the latest time to begin and still meet the next aim.
 	Latest() time.Time
 	// Rank is the job's priority, the highest first.
@@ -19,6 +19,16 @@
 	ID() string
 }
 
+// Prospect is what can be hoped for a job. Jobs are served in this order.
+type Prospect int
+
+// The prospects of a job.
+const (
+	InTime   Prospect = iota // its next aim can be met
+	Deferred                 // it gave way to others that can be met instead
+	Hopeless                 // none of its aims can be met any more
+)
+
 // Team is the queue of one team, with its use of the cluster.
 type Team[T Item] struct {
 	Name  string
@@ -51,23 +61,13 @@
 }
 
 func compare[T Item](a, b T) int {
-	return cmp.Or(boolCompare(a.Hopeless(), b.Hopeless()), a.Latest().Compare(b.Latest()),
+	return cmp.Or(cmp.Compare(a.Prospect(), b.Prospect()), a.Latest().Compare(b.Latest()),
 		cmp.Compare(a.Rank(), b.Rank()), cmp.Compare(a.ID(), b.ID()))
 }
 
 // Before tells whether a is served before b where no shares decide.
 func Before[T Item](a, b T) bool { return compare(a, b) < 0 }
 
-func boolCompare(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
 // Resort makes the next look at the queue put it in order again.
 func (t *Team[T]) Resort() { t.sorted = false }
 
