--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -52,12 +52,8 @@
 	AgeS  float64 `json:"AgeS"`
 }
 
-// Phases of a listed machine.
-const (
-	PhaseStarting = "starting"
-	PhaseRunning  = "running"
-	PhaseFailed   = "failed"
-)
+// PhaseFailed is the phase of a listed machine that has stopped by itself.
+const PhaseFailed = "failed"
 
 // Service is the cloud as the rest of the program sees it.
 type Service interface {
--- a/internal/controller/keep.go
+++ b/internal/controller/keep.go
@@ -41,8 +41,9 @@
 	pingTimeout = 800 * time.Millisecond
 	// keptFor is how long the leader relies on what another node published.
 	keptFor = 8 * time.Second
-	// keepMargin is kept back of the time that a cancellation has.
-	keepMargin = 3 * time.Second
+	// keepMargin is kept back of the time that a cancellation has: the leader
+	// may have been late by one watch in hearing of it.
+	keepMargin = watchTimeout + time.Second
 )
 
 // keepFor is how long after it was last verified a term may be kept up here.
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -129,78 +129,19 @@
 	}
 }
 
-// snapshot is what a new leader reads of the store.
-type snapshot struct {
-	ring       uint64
-	cancelMark uint64
-	active     []store.Entry
-	progress   []store.Entry
-	machines   []store.Entry
-}
-
-// load reads the store until it succeeds.
-func (r *reign) load() {
-	for r.ctx.Err() == nil {
-		snap, err := r.read()
-		if err == nil {
-			r.post(loadedMsg{r, snap})
-			r.watch(snap.ring)
-			return
-		}
-		r.c.Log.Debug("takeover: read", "err", err)
-		pause(r.ctx, 200*time.Millisecond)
-	}
-}
-
-func (r *reign) read() (*snapshot, error) {
-	var s snapshot
-	var err error
-	// The active jobs come first: their revision is where the watch begins.
-	if s.active, s.ring, err = r.readAll(store.ActivePrefix); err != nil {
-		return nil, err
-	}
-	if s.progress, _, err = r.readAll(store.ProgressPrefix); err != nil {
-		return nil, err
-	}
-	if s.machines, _, err = r.readAll(store.MachinePrefix); err != nil {
-		return nil, err
-	}
-	s.active = slices.DeleteFunc(s.active, func(e store.Entry) bool {
-		if e.Key == store.CancelKey {
-			s.cancelMark = e.Mark
-			return true
-		}
-		return false
-	})
-	return &s, nil
-}
-
-func (r *reign) readAll(prefix string) (rows []store.Entry, ring uint64, err error) {
-	from := ""
-	for {
-		ctx, cancel := context.WithTimeout(r.ctx, 3*time.Second)
-		p, err := r.c.Store.Range(ctx, prefix, from, 500)
-		cancel()
-		if err != nil {
-			return nil, 0, err
-		}
-		if ring == 0 {
-			ring = p.Ring
-		}
-		rows = append(rows, p.Rows...)
-		if !p.More || len(p.Rows) == 0 {
-			return rows, ring, nil
-		}
-		from = p.Rows[len(p.Rows)-1].Key
-	}
-}
+// A watch is asked again after watchBlock, and given up after watchTimeout: a
+// connection that died without a word must not keep cancellations from the
+// leader, whose tasks have to be gone in time.
+const (
+	watchBlock   = 4 * time.Second
+	watchTimeout = 5500 * time.Millisecond
+)
 
 // watch follows the active jobs from a revision on.
 func (r *reign) watch(from uint64) {
-	const block = 20 * time.Second
 	for r.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(r.ctx, block+10*time.Second)
-		ch, err := r.c.Store.Watch(ctx, store.ActivePrefix, from, block)
+		ctx, cancel := context.WithTimeout(r.ctx, watchTimeout)
+		ch, err := r.c.Store.Watch(ctx, store.ActivePrefix, from, watchBlock)
 		cancel()
 		switch {
 		case errors.Is(err, store.ErrCompacted):
@@ -231,68 +172,6 @@
 
 func (m deposeMsg) apply(*Controller) { m.r.depose() }
 
-type loadedMsg struct {
-	r *reign
-	s *snapshot
-}
-
-func (m loadedMsg) apply(c *Controller) {
-	r := m.r
-	if c.reign != r {
-		return
-	}
-	now := time.Now()
-	r.cancelMark = m.s.cancelMark
-	for _, e := range m.s.active {
-		r.addJob(e.Key, e.Value, e.Mark)
-	}
-	for _, e := range m.s.progress {
-		r.addProgress(e, now)
-	}
-	for _, e := range m.s.machines {
-		name := e.Key[len(store.MachinePrefix):]
-		var rec store.MachineRecord
-		if err := json.Unmarshal(e.Value, &rec); err != nil {
-			c.Log.Error("roster record", "key", e.Key, "err", err)
-		}
-		mc := r.addMachine(name, rec.Type, rec.Zone, rec.Spot, now)
-		mc.addr = rec.Addr
-		mc.cpus, mc.gpus, mc.memory = rec.CPUs, rec.GPUs, rec.MemoryGB
-		mc.roster = rosterDurable
-		r.unheard++
-		r.unheardCPUs += mc.cpus
-		r.unheardGPUs += mc.gpus
-	}
-	r.loaded = true
-	c.Log.Info("takeover: read", "term", r.term.Number, "jobs", len(r.jobs), "machines", r.unheard)
-}
-
-func (r *reign) addProgress(e store.Entry, now time.Time) {
-	id, first, ok := store.ParseProgressKey(e.Key)
-	if !ok {
-		return
-	}
-	j := r.jobs[id]
-	if j == nil {
-		r.recorder.drop(e.Key)
-		return
-	}
-	var rec store.ProgressRecord
-	if err := json.Unmarshal(e.Value, &rec); err != nil {
-		r.c.Log.Error("progress record", "key", e.Key, "err", err)
-		return
-	}
-	j.chunks[first] = true
-	for i, b := range rec.Done {
-		for bit := range 8 {
-			if task := first + i*8 + bit; b&(1<<bit) != 0 && task < j.spec.Tasks {
-				j.durable.Set(uint(task))
-				r.taskDone(j, task, now)
-			}
-		}
-	}
-}
-
 // changesMsg brings what the watch saw.
 type changesMsg struct {
 	r      *reign
@@ -537,6 +416,9 @@
 	for _, a := range m.attempts {
 		r.offMachine(a)
 	}
+	for _, j := range r.jobs {
+		j.flight.Leave(m.name)
+	}
 	if m.roster != rosterNone {
 		r.recorder.drop(store.MachinePrefix + m.name)
 	}
--- a/internal/flight/flight.go
+++ b/internal/flight/flight.go
@@ -32,9 +32,6 @@
 // Untaken is the number of tasks that are neither done nor taken.
 func (f *Flight) Untaken() int { return f.left }
 
-// Members is the number of members.
-func (f *Flight) Members() int { return len(f.cursors) }
-
 // Member tells whether a machine is a member.
 func (f *Flight) Member(name string) bool { _, ok := f.cursors[name]; return ok }
 
