--- a/internal/controller/renter.go
+++ b/internal/controller/renter.go
@@ -172,13 +172,23 @@
 const (
 	moveAfter  = 30 * time.Second
 	moveUnless = 20 * time.Second
+	moveMargin = 5 * time.Second
+	// ampleRoom is how many times what a machine holds must be free
+	// elsewhere, so that what is moved need not wait there.
+	ampleRoom = 3
 )
 
 // move stops the tasks on draining machines that can go on elsewhere from
 // where they were.
 func (f *renter) move(now time.Time) {
+	room := 0.0
 	for _, m := range f.r.machines {
-		if !m.draining {
+		if m.open(now) {
+			room += m.freeCPUs()
+		}
+	}
+	for _, m := range f.r.machines {
+		if !m.draining || room < ampleRoom*m.usedCPUs {
 			continue
 		}
 		for _, a := range m.attempts {
@@ -190,7 +200,8 @@
 			left := s.Estimate() - ran
 			aim := a.job.latest.Add(s.Estimate())
 			if ran > moveAfter && left > moveUnless+s.Save() &&
-				(a.job.hopeless || now.Add(2*left+3*moveUnless).Before(aim)) {
+				(a.job.hopeless || now.Add(left*5/4+s.Save()+3*f.r.c.Settings.Site.Workers.Report()+moveMargin).Before(aim)) {
+				room -= s.CPUs
 				f.r.stop(a, 2*s.Save()+time.Second, now)
 			}
 		}
