--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -182,6 +182,8 @@
 	attempts map[attemptKey]*attempt
 	foreign  int
 	images   map[string]time.Time
+	// fetching are the images that tasks on the machine wait for.
+	fetching map[string]bool
 
 	// draining machines get no tasks while there is room elsewhere; unlike
 	// leaving ones they are taken back into use when that room is needed.
@@ -222,6 +224,28 @@
 	return int(min(n, api.MaxTasks))
 }
 
+// lookFetches finds the images that the machine is fetching.
+func (m *machine) lookFetches() {
+	m.fetching = map[string]bool{}
+	for _, a := range m.attempts {
+		if a.exited || a.job == nil || (a.phase != "" && a.phase != api.TaskPulling) {
+			continue
+		}
+		if _, ok := m.images[a.job.spec.Image]; !ok {
+			m.fetching[a.job.spec.Image] = true
+		}
+	}
+}
+
+// canFetch tells whether the machine has an image, or may begin to fetch it
+// beside at most others.
+func (m *machine) canFetch(image string, most int) bool {
+	if _, ok := m.images[image]; ok {
+		return true
+	}
+	return m.fetching[image] || len(m.fetching) < most
+}
+
 // open tells whether the machine may be given tasks.
 func (m *machine) open(now time.Time) bool {
 	return m.heard && m.roster == rosterDurable && !m.draining && !m.leaving && !m.gone && m.cpus > 0 &&
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -53,6 +53,8 @@
 	recorder recorder
 	renter   renter
 	counts   counters
+	// fetches is how many images a machine may fetch at the same time now.
+	fetches  int
 	nextScan time.Time
 	lastTick time.Time
 	// What other nodes keep alive was last read at keptRead, at keptMarks.
@@ -84,6 +86,7 @@
 	}
 	r.keptMarks = map[string]uint64{}
 	r.counts = newCounters()
+	r.fetches = manyFetches
 	r.confirm.r = r
 	r.recorder.init(r)
 	r.renter.init(r)
@@ -327,22 +330,27 @@
 	r.renter.tick(now)
 }
 
+// manyFetches bounds the images that a machine fetches at the same time.
+const manyFetches = 4
+
 // maxTriage bounds the work of the triage.
 const maxTriage = 500
 
 // triage looks again at which jobs can be in time, and puts the queues in that
 // order.
 func (r *reign) triage(now time.Time) {
-	cpus := 0.0
+	cpus, free, waiting := 0.0, 0.0, 0.0
 	for _, m := range r.machines {
 		if m.open(now) {
 			cpus += m.cpus
+			free += m.freeCPUs()
 		}
 	}
 	var loads []*queue.Load
 	for _, t := range r.turns {
 		for _, j := range t.Items() {
 			j.look(now)
+			waiting += float64(j.flight.Untaken()) * j.spec.CPUs
 			j.load = queue.Load{}
 			if j.hopeless || j.finishing || len(loads) == maxTriage {
 				continue
@@ -360,6 +368,13 @@
 		}
 	}
 	queue.Triage(loads, cpus, now)
+	// Images that are fetched at the same time share the machine's rate. While
+	// there is too little room, one after the other is better: the first
+	// tasks begin sooner, and no room is held for those whose image comes last.
+	r.fetches = manyFetches
+	if waiting > free {
+		r.fetches = 1
+	}
 	for _, t := range r.turns {
 		t.Resort()
 	}
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -282,6 +282,7 @@
 	if !m.open(now) {
 		return orders
 	}
+	m.lookFetches()
 	for len(orders) < maxOrders {
 		j := r.pick(m, now)
 		if j == nil {
@@ -295,6 +296,9 @@
 		a := &attempt{key: attemptKey{j.taskRef(task), r.nextAttempt()}, machine: m, job: j, task: task,
 			sentSeq: m.seq, sentAt: now}
 		m.attempts[a.key] = a
+		if _, ok := m.images[j.spec.Image]; !ok {
+			m.fetching[j.spec.Image] = true
+		}
 		j.live[task] = a
 		a.charge(1)
 		r.counts.started++
@@ -356,7 +360,7 @@
 		return false
 	case !j.team.Allowed(s.CPUs, s.GPUs, r.unheardCPUs+r.foreignCPUs(), r.unheardGPUs):
 		return false
-	case j.errors[m.name] >= 2 || j.onlyBarred(m):
+	case j.errors[m.name] >= 2 || j.onlyBarred(m) || !(m.canFetch(s.Image, r.fetches) || r.quickFetch(j, m)):
 		return false
 	}
 	if s.OneZone {
@@ -390,6 +394,13 @@
 	return false
 }
 
+// quickFetch tells whether an image is fetched sooner than the machine would
+// report again.
+func (r *reign) quickFetch(j *job, m *machine) bool {
+	rate := r.c.types.load()[m.typ].FetchGBs
+	return rate > 0 && j.spec.ImageGB/rate < 2*r.c.Settings.Site.Workers.ReportS
+}
+
 // strain is how badly a machine suits a job, in seconds lost: the time to
 // fetch the image, and a measure of what it costs to keep the machine.
 func (r *reign) strain(j *job, m *machine) float64 {
--- a/internal/controller/rules_test.go
+++ b/internal/controller/rules_test.go
@@ -762,3 +762,35 @@
 		w.same("started after the watch was given up", len(k.running()), 2)
 	})
 }
+
+// A machine that fetches several images at once gets none of them soon, and
+// holds room for tasks that cannot begin: with more work than room, the tasks
+// of a second image wait for the first.
+func TestImagesAreFetchedOneByOneWhenRoomIsShort(t *testing.T) {
+	play(t, func(w *world) {
+		n := w.start("n0")
+		k := w.worker("i-1", "a", false)
+		k.serve(n, 3)
+		a, b := spec("job-1", 2), spec("job-2", 9)
+		a.DeadlineS, b.DeadlineS, b.Image = 60, 90, "other"
+		w.submit(n, a)
+		w.submit(n, b)
+		time.Sleep(2 * time.Second)
+		orders, err := k.send(n)
+		if err != nil {
+			t.Fatal(err)
+		}
+		k.obey(orders)
+		w.same("first image", k.running(), []string{"job-1/0", "job-1/1"})
+		for i := range k.rep.Tasks {
+			k.rep.Tasks[i].Phase = api.TaskPulling
+		}
+		k.serve(n, 2)
+		w.same("while it is fetched", len(k.running()), 2)
+		for i := range k.rep.Tasks {
+			k.rep.Tasks[i].Phase = api.TaskRunning
+		}
+		k.serve(n, 1)
+		w.same("once it is there", len(k.running()), 4)
+	})
+}
