--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,75 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+type answers struct{ term uint64 }
+
+func (a answers) Job(_ context.Context, id string) (*JobStatus, error) {
+	switch id {
+	case "job-1":
+		return &JobStatus{Known: true, Phase: "done", Done: 3}, nil
+	case "job-2":
+		return &JobStatus{}, nil
+	}
+	return nil, errors.New("not the leader")
+}
+
+func (a answers) Term(context.Context) (uint64, error) { return a.term, nil }
+
+// connected is a client whose connection ends in a served pipe.
+func connected(t *testing.T, h Handler) (*Client, net.Conn) {
+	near, far := net.Pipe()
+	c := NewClient("nowhere")
+	c.conn = near
+	go c.receive(near)
+	if h != nil {
+		go serveConn(t.Context(), far, h)
+	}
+	t.Cleanup(func() { near.Close(); far.Close() })
+	return c, far
+}
+
+func TestQuestionsBetweenControllers(t *testing.T) {
+	c, _ := connected(t, answers{term: 9})
+	ctx := t.Context()
+	if st, err := c.Job(ctx, "job-1"); err != nil || !st.Known || st.Phase != "done" || st.Done != 3 {
+		t.Errorf("%v, %v", st, err)
+	}
+	if st, err := c.Job(ctx, "job-2"); err != nil || st.Known {
+		t.Errorf("unknown job: %v, %v", st, err)
+	}
+	if _, err := c.Job(ctx, "job-3"); !errors.Is(err, ErrUnable) {
+		t.Errorf("no leader: %v", err)
+	}
+	if term, err := c.Ping(ctx); err != nil || term != 9 {
+		t.Errorf("ping: %d, %v", term, err)
+	}
+}
+
+// A peer that sends nonsense, or goes, fails the questions that wait; none may
+// wait for ever.
+func TestBrokenPeer(t *testing.T) {
+	for name, breakIt := range map[string]func(net.Conn){
+		"goes":              func(far net.Conn) { far.Close() },
+		"oversized message": func(far net.Conn) { far.Write([]byte{0xff, 0xff, 0xff, 0xff}) },
+		"nonsense":          func(far net.Conn) { far.Write([]byte{0, 0, 0, 2, 0xff, 0xff}) },
+	} {
+		c, far := connected(t, nil)
+		go func() {
+			io.ReadFull(far, make([]byte, 6))
+			breakIt(far)
+		}()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		if _, err := c.Ping(ctx); err == nil || ctx.Err() != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		cancel()
+	}
+}
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,91 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"example.org/ivytrestle/internal/config"
+)
+
+// script answers every request alike, or fails it.
+type script struct {
+	status int
+	body   string
+	err    error
+	path   string
+	sent   string
+}
+
+func (s *script) RoundTrip(r *http.Request) (*http.Response, error) {
+	s.path = r.URL.RequestURI()
+	if r.Body != nil {
+		raw, _ := io.ReadAll(r.Body)
+		s.sent = string(raw)
+	}
+	if s.err != nil {
+		return nil, s.err
+	}
+	return &http.Response{StatusCode: s.status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(s.body))}, nil
+}
+
+func scripted(s *script) *Client {
+	c := NewClient("10.0.0.1:1", config.StateLimits{RPS: 100, WriteRPS: 25, TxnOps: 12})
+	c.http.Transport, c.watches.Transport = s, s
+	return c
+}
+
+// What an answer means decides whether a request may be repeated, or must be
+// taken for carried out; nothing that arrives may end in a panic.
+func TestAnswersOfTheStateService(t *testing.T) {
+	ctx := context.Background()
+	for _, c := range []struct {
+		name string
+		s    script
+		want error
+	}{
+		{"carried out", script{status: 200, body: `{"Ring":7}`}, nil},
+		{"conditions failed", script{status: 409, body: `{"failed":["term"],"Ring":7}`}, nil},
+		{"over the rate", script{status: 429, body: `{}`}, ErrRefused},
+		{"outage", script{status: 503, body: `trouble`}, ErrRefused},
+		{"lease ended", script{status: 400, body: `{"error":"no such lease"}`}, ErrNoLease},
+		{"malformed", script{status: 200, body: `<html>`}, ErrUnknown},
+		{"reset", script{err: io.ErrUnexpectedEOF}, ErrUnknown},
+		{"anything else", script{status: 418, body: `{}`}, ErrUnknown},
+	} {
+		_, err := scripted(&c.s).Txn(ctx, Txn{Ops: []Op{{Put: "a", Value: 1}}})
+		if !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, err, c.want)
+		}
+	}
+	s := &script{status: 409, body: `{"failed":["term"],"Ring":7}`}
+	res, err := scripted(s).Txn(ctx, Txn{})
+	if err != nil || res.OK || len(res.Failed) != 1 || s.sent != `{"Guards":[]}` {
+		t.Errorf("%v, %v, sent %s", res, err, s.sent)
+	}
+	s = &script{status: 404, body: `{"Ring":3}`}
+	if e, err := scripted(s).Get(ctx, "a/job-1"); err != nil || e.Mark != 0 || s.path != "/kv/a/job-1" {
+		t.Errorf("missing key: %v, %v, asked %s", e, err, s.path)
+	}
+	if err := scripted(&script{status: 404}).Extend(ctx, 7); !errors.Is(err, ErrNoLease) {
+		t.Errorf("ended lease: %v", err)
+	}
+	if _, err := scripted(&script{status: 410}).Watch(ctx, "a/", 1, time.Second); !errors.Is(err, ErrCompacted) {
+		t.Errorf("old watch: %v", err)
+	}
+}
+
+func TestProgressKeys(t *testing.T) {
+	if id, first, ok := ParseProgressKey(ProgressKey("job-1", 32768)); id != "job-1" || first != 32768 || !ok {
+		t.Errorf("%s %d %v", id, first, ok)
+	}
+	for _, bad := range []string{"p/job-1", "p/job-1/x", "p/job-1/-1", ""} {
+		if _, _, ok := ParseProgressKey(bad); ok {
+			t.Errorf("%q was taken", bad)
+		}
+	}
+}
