--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -126,4 +127,43 @@
 	return s
 }
 
+// useInterval is how often the log tells how the fleet is used.
+const useInterval = 5 * time.Second
+
+// logUse tells at debug what the fleet's CPUs are doing and how much waits.
+func (r *reign) logUse(now time.Time) {
+	if now.Before(r.nextUse) || !r.c.Log.Enabled(r.ctx, slog.LevelDebug) {
+		return
+	}
+	r.nextUse = now.Add(useInterval)
+	var total, open, running, pulling, ordered, saving, kept float64
+	for _, m := range r.machines {
+		total += m.cpus
+		if m.open(now) {
+			open += m.cpus
+		}
+		for _, a := range m.attempts {
+			switch {
+			case a.job == nil:
+			case a.exited:
+				kept += a.job.spec.CPUs
+			case a.phase == api.TaskRunning:
+				running += a.job.spec.CPUs
+			case a.phase == api.TaskPulling:
+				pulling += a.job.spec.CPUs
+			case a.phase == api.TaskSaving:
+				saving += a.job.spec.CPUs
+			default:
+				ordered += a.job.spec.CPUs
+			}
+		}
+	}
+	waiting := map[string]float64{}
+	for _, j := range r.jobs {
+		waiting[j.spec.Class] += float64(j.flight.Untaken()) * j.spec.CPUs
+	}
+	r.c.Log.Debug("fleet use", "machines", len(r.machines), "unheard", r.unheard, "expected", len(r.expected), "cpus", total, "open", open,
+		"running", running, "pulling", pulling, "ordered", ordered, "saving", saving, "kept", kept, "jobs", len(r.jobs), "waiting", waiting)
+}
+
 var _ api.Backend = (*Controller)(nil)
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -61,8 +61,8 @@
 }
 
 func compare[T Item](a, b T) int {
-	return cmp.Or(cmp.Compare(a.Prospect(), b.Prospect()), a.Latest().Compare(b.Latest()),
-		cmp.Compare(a.Rank(), b.Rank()), cmp.Compare(a.ID(), b.ID()))
+	return cmp.Or(cmp.Compare(a.Prospect(), b.Prospect()), cmp.Compare(min(a.Rank(), 2), min(b.Rank(), 2)),
+		a.Latest().Compare(b.Latest()), cmp.Compare(a.Rank(), b.Rank()), cmp.Compare(a.ID(), b.ID()))
 }
 
 // Before tells whether a is served before b where no shares decide.
