Deaf machines, late copies of reports, runs beyond a cut

- A report with an older term changes nothing: it may be a late copy.
An unknown machine is taken up only once it has this term or was rented by this leader.
- Orders that are not carried out are counted; a machine that heeds none is asked directly and returned, also when its lease ends although it is answered.
- A takeover gives an unheard machine its lease and two reports, whether or not it answers probes.
- Runs on machines out of hearing are neither restarted nor measured.
- At most 24 probes at a time.

--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -164,6 +164,20 @@
 	crash context.CancelFunc
 }
 
+// lookMsg lets a test look at what the owner holds.
+type lookMsg struct {
+	f    func(*Controller)
+	done chan struct{}
+}
+
+func (m lookMsg) apply(c *Controller) { m.f(c); close(m.done) }
+
+func (n *node) look(f func(*Controller)) {
+	m := lookMsg{f, make(chan struct{})}
+	n.mail <- m
+	<-m.done
+}
+
 func (w *world) start(name string) *node {
 	return w.startWith(name, w.store, nil)
 }
--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -136,6 +136,8 @@
 	runningAt time.Time
 	stop      *stopOrder
 	exited    bool
+	// seen is the last of the machine's reports that showed the attempt.
+	seen int
 	// noted is set once what the exit means has been taken in.
 	noted bool
 }
@@ -165,11 +167,22 @@
 	usedCPUs, usedGPUs, usedMemory float64
 
 	session, seq uint64
-	roster       rosterState
+	// reports counts the reports taken in.
+	reports int
+	// asked are the orders of the last answer. unheeded counts the reports in
+	// a row that showed none of their orders carried out, and the sessions
+	// that ended although the machine was answered: answers do not reach it.
+	asked    []api.Order
+	unheeded int
+	roster   rosterState
 	// heard is set once the machine reports with this term: from then on it
 	// carries out no earlier leader's orders.
 	heard    bool
 	lastSeen time.Time
+	// lastReport is when the last report came, and lastGap how long after the
+	// one before: how late what it told may be known here.
+	lastReport time.Time
+	lastGap    time.Duration
 	// nextProbe and probeFails belong to the watch over silent machines.
 	nextProbe  time.Time
 	probeFails int
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -56,7 +56,11 @@
 	// fetches is how many images a machine may fetch at the same time now.
 	fetches  int
 	nextScan time.Time
+	nextUse  time.Time
 	lastTick time.Time
+	// listening is since when this node can hear its machines.
+	listening time.Time
+	probing   int
 	// What other nodes keep alive was last read at keptRead, at keptMarks.
 	keptRead  time.Time
 	keptMarks map[string]uint64
@@ -328,6 +332,7 @@
 	r.scanMachines(now)
 	r.scanOverdue(now)
 	r.renter.tick(now)
+	r.logUse(now)
 }
 
 // manyFetches bounds the images that a machine fetches at the same time.
@@ -391,6 +396,7 @@
 	if first || gap < 2*time.Second {
 		return false
 	}
+	r.listening = now
 	for _, m := range r.machines {
 		m.lastSeen = now
 	}
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -28,6 +28,15 @@
 		return ans, api.ErrUnavailable // given back; this was held up on its way
 	}
 	m := r.machines[rep.Machine]
+	if rep.Term < r.term.Number && (m != nil || r.expected[rep.Machine] == nil) {
+		// A token never falls, so this is the first report of a machine that
+		// has yet to hear of this term, one of a machine that no answer
+		// reaches, or a copy of an old report that comes late. Which, cannot
+		// be told: it is answered, so that the machine learns the term, and
+		// otherwise changes nothing. Above all it is no sign of life, and
+		// brings no machine back that an earlier leader returned.
+		return ans, nil
+	}
 	if m == nil {
 		m = r.addMachine(rep.Machine, rep.Type, rep.Zone, rep.Spot, now)
 		r.c.Log.Info("machine up", "machine", m.name, "type", m.typ, "zone", m.zone, "spot", m.spot)
@@ -35,8 +44,13 @@
 	if rep.Session < m.session || (rep.Session == m.session && rep.Seq <= m.seq) {
 		return ans, nil // older than what is known
 	}
+	if m.session != 0 && rep.Session > m.session {
+		m.unheeded++ // its lease has ended although it was answered
+		m.asked = nil
+	}
+	m.reports++
+	m.lastGap, m.lastReport = now.Sub(m.lastReport), now
 	m.session, m.seq, m.lastSeen, m.addr = rep.Session, rep.Seq, now, rep.Addr
-	m.probeFails = 0
 	if m.cpus == 0 {
 		if mt, ok := r.c.types.load()[m.typ]; ok {
 			m.cpus, m.gpus, m.memory = mt.CPUs, mt.GPUs, mt.MemoryGB
@@ -46,6 +60,9 @@
 		r.notice(m, *rep.NoticeS, now)
 	}
 	ans.Orders = r.reconcile(m, rep, ans.Orders, now)
+	if m.unheeded == 0 {
+		m.probeFails = 0
+	}
 	if m.roster == rosterNone && m.cpus > 0 && !m.leaving {
 		m.roster = rosterWriting
 		// Unknown to the roster: no earlier leader started anything here.
@@ -56,12 +73,36 @@
 		r.countHeard(m)
 		ans.Orders = r.place(m, ans.Orders, now)
 	}
+	m.asked = ans.Orders
 	if m.usedCPUs > slack || len(m.attempts) > 0 {
 		m.idle = now
 	}
 	return ans, nil
 }
 
+// heed looks whether a report shows that the orders of the last answer were
+// carried out. To a machine whose reports arrive while answers do not reach it,
+// starts would otherwise be sent again and again.
+func (r *reign) heed(m *machine, now time.Time) {
+	if len(m.asked) == 0 {
+		return
+	}
+	for _, o := range m.asked {
+		a := m.attempts[attemptKey{o.Task, o.Attempt}]
+		shown := a != nil && a.seen == m.reports
+		if (o.Verb == api.VerbStart) == shown || (shown && o.Verb == api.VerbStop && a.phase != api.TaskRunning) {
+			m.unheeded = 0
+			return
+		}
+	}
+	// One answer may be lost; after a second, the machine is asked first.
+	if m.unheeded++; m.unheeded > 1 {
+		m.pauseUntil = now.Add(min(r.c.Settings.Site.Workers.Report()<<min(m.unheeded, 5), 30*time.Second))
+	}
+	m.nextProbe = now
+	r.c.Log.Debug("orders not carried out", "machine", m.name, "orders", len(m.asked), "times", m.unheeded)
+}
+
 // notice takes in that the cloud will take the machine.
 func (r *reign) notice(m *machine, seconds float64, now time.Time) {
 	left := time.Duration(seconds * float64(time.Second))
@@ -95,22 +136,22 @@
 
 // reconcile brings the machine's attempts in line with its report.
 func (r *reign) reconcile(m *machine, rep *api.Report, orders []api.Order, now time.Time) []api.Order {
-	listed := make(map[attemptKey]bool, len(rep.Tasks))
 	for i := range rep.Tasks {
 		t := &rep.Tasks[i]
 		key := attemptKey{t.Task, t.Attempt}
-		listed[key] = true
 		a := m.attempts[key]
 		if a == nil {
 			a = r.adopt(m, key, t, now)
 		}
+		a.seen = m.reports
 		r.update(a, t, now)
 		if a.exited && r.reapable(a) && len(orders) < maxOrders {
 			orders = append(orders, api.Order{Verb: api.VerbReap, Task: t.Task, Attempt: t.Attempt})
 		}
 	}
+	r.heed(m, now)
 	for key, a := range m.attempts {
-		if !listed[key] {
+		if a.seen != m.reports {
 			// Reaped, killed with its session, or never begun: a newer
 			// report without it shows that it is off the machine.
 			if !a.exited && !a.noted && a.phase == "" {
@@ -146,7 +187,9 @@
 		return a
 	}
 	a.charge(1)
-	if a.job != nil && a.job.live[task] == nil {
+	if a.job != nil && (a.job.live[task] == nil || a.job.live[task].key.id < key.id) {
+		// Of two attempts the later one is kept: it was begun only when the
+		// earlier one was known to be off its machine.
 		a.job.live[task] = a
 		a.job.flight.Take(task)
 		a.job.flight.Join(m.name)
--- a/internal/controller/silence.go
+++ b/internal/controller/silence.go
@@ -17,24 +17,31 @@
 	probeEvery   = 2 * time.Second
 	// deadAfter is how many probes in a row must fail.
 	deadAfter = 2
+	// deafAfter is how many times in a row a machine may carry out no orders
+	// while it answers probes.
+	deafAfter = 4
+	// maxProbes bounds the sockets in use for probes.
+	maxProbes = 24
 	// settleIn is what machines are given to find a new leader before they
 	// are probed.
 	settleIn = 1500 * time.Millisecond
 )
 
-// silences gives back the machines that have fallen silent. A machine that is
-// dead is noticed after a missed report and two probes that failed; waiting
-// for its lease would cost its tasks that much more, and a new leader that
-// waits for it to be heard can start nothing old. Where most of a zone is
-// silent at once, the network is the more likely cause, and a node on the other
-// side may keep them alive: they are given the time in which even that ends.
+// silences gives back the machines that have fallen silent or deaf. A machine
+// that is dead is noticed after a missed report and two probes that failed;
+// waiting for its lease would cost its tasks that much more, and a new leader
+// that waits for it to be heard can start nothing old. One whose reports arrive
+// while it carries out no orders is deaf, and is asked in the same way. Where
+// most of a zone is silent or deaf at once, the network is the more likely
+// cause, and a node on the other side may keep the machines alive: they are
+// given the time in which even that ends.
 func (r *reign) silences(now time.Time) {
 	w := r.c.Settings.Site.Workers
 	suspect := func(m *machine) bool {
-		if m.session == 0 {
+		if !m.heard {
 			return now.Sub(m.lastSeen) > settleIn // not heard of in this term
 		}
-		return now.Sub(m.lastSeen) > w.Report()*5/4+time.Second
+		return m.unheeded > 0 || now.Sub(m.lastSeen) > w.Report()*5/4+time.Second
 	}
 	all, quiet := map[string]int{}, map[string]int{}
 	for _, m := range r.machines {
@@ -55,25 +62,32 @@
 		if cut {
 			r.readKept(now)
 		}
+		why := "silent"
+		if m.unheeded > 0 {
+			why = "deaf"
+		}
 		switch silent := now.Sub(m.lastSeen); {
 		case now.Before(m.kept):
 			continue
-		case silent > w.Lease()+2*w.Report() && (!cut || !m.heard):
-			// One not heard in this term holds every earlier job back, and
-			// nobody keeps it alive under an earlier term.
+		case !m.heard && now.Sub(r.listening) > w.Lease()+2*w.Report():
+			// It holds every earlier job back. A deaf one shows the old token
+			// in report after report and may even answer probes, but its
+			// lease has ended by now.
+		case silent > w.Lease()+2*w.Report() && !cut:
 		case silent > config.Seconds(w.CancelS):
 		case m.probeFails >= deadAfter && !cut:
+		case m.unheeded >= deafAfter && !cut:
 		default:
 			continue
 		}
-		r.leave(m, "silent")
+		r.leave(m, why)
 		r.renter.giveBack(m)
 	}
 }
 
 // probe asks a silent machine, unless it was asked just now.
 func (r *reign) probe(m *machine, now time.Time) {
-	if now.Before(m.nextProbe) {
+	if now.Before(m.nextProbe) || r.probing >= maxProbes {
 		return
 	}
 	m.nextProbe = now.Add(probeEvery)
@@ -82,6 +96,7 @@
 		m.probeFails++
 		return
 	}
+	r.probing++
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, probeTimeout)
 		defer cancel()
@@ -97,11 +112,15 @@
 }
 
 func (p probedMsg) apply(c *Controller) {
-	if c.reign != p.r || p.m.gone {
+	if c.reign != p.r {
+		return
+	}
+	p.r.probing--
+	if p.m.gone {
 		return
 	}
 	if p.err != nil {
-		if p.m.lastSeen.Before(p.asked) {
+		if p.m.lastSeen.Before(p.asked) || p.m.unheeded > 0 {
 			p.m.probeFails++
 		}
 		return
--- a/internal/controller/slow.go
+++ b/internal/controller/slow.go
@@ -41,6 +41,11 @@
 // runs take much longer than the same jobs' elsewhere.
 func (r *reign) ran(a *attempt, took time.Duration, now time.Time) {
 	j, m := a.job, a.machine
+	if m.lastGap > r.hearable() {
+		// When the run ended is not known: a cut held the report up. Taken for
+		// long, such runs had half of a zone's machines quarantined after it.
+		return
+	}
 	j.longest = max(j.longest, took)
 	mine := j.runs[m.name]
 	if mine == nil {
@@ -71,6 +76,9 @@
 	}
 }
 
+// hearable is the longest time between two reports of a machine in order.
+func (r *reign) hearable() time.Duration { return 2*r.c.Settings.Site.Workers.Report() + time.Second }
+
 // scanOverdue restarts, once, a run past twice its estimate when its machine's
 // other tasks of the job overran as well and those on other machines did not.
 // Estimates are often too low for the whole job, and then all its tasks cross
@@ -85,7 +93,8 @@
 		for _, a := range j.live {
 			m := a.machine
 			took := now.Sub(a.runningAt)
-			if a.exited || a.stop != nil || a.runningAt.IsZero() || took <= limit || j.restarted[a.task] {
+			// A machine out of hearing may have ended the run long ago.
+			if now.Sub(m.lastReport) > r.hearable() || a.exited || a.stop != nil || a.runningAt.IsZero() || took <= limit || j.restarted[a.task] {
 				continue
 			}
 			others := j.elsewhere(m)
@@ -95,7 +104,7 @@
 			}
 			j.restarted[a.task] = true
 			j.barred[a.task] = m.name
-			r.c.Log.Info("slow run restarted", "task", a.key.ref, "machine", m.name)
+			r.c.Log.Debug("slow run restarted", "task", a.key.ref, "machine", m.name)
 			r.stop(a, j.spec.Save()*2, now)
 		}
 	}
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -107,7 +107,7 @@
 		r.unheardCPUs += mc.cpus
 		r.unheardGPUs += mc.gpus
 	}
-	r.loaded = true
+	r.loaded, r.listening = true, now
 	c.Log.Info("takeover: read", "term", r.term.Number, "jobs", len(r.jobs), "machines", r.unheard)
 }
 
--- /dev/null
+++ b/internal/controller/trouble_test.go
@@ -0,0 +1,214 @@
+package controller
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/store"
+)
+
+// A machine that shows no order carried out in report after report gets no
+// more work and is returned, whether or not it answers probes; one lost answer
+// condemns nobody.
+func TestDeafMachineIsReturned(t *testing.T) {
+	for _, answersProbes := range []bool{false, true} {
+		play(t, func(w *world) {
+			n := w.start("n0")
+			deaf, well := w.worker("i-1", "a", false), w.worker("i-2", "a", false)
+			deaf.serve(n, 2)
+			w.submit(n, spec("job-1", 1))
+			if !answersProbes {
+				w.dead.Store("i-1", true)
+			}
+			starts, reports := 0, 0
+			for ; reports < 60 && !w.cloud.gone("i-1"); reports++ {
+				orders, err := deaf.send(n)
+				if err != nil {
+					break
+				}
+				for _, o := range orders {
+					if o.Verb == api.VerbStart {
+						starts++
+					}
+				}
+				time.Sleep(time.Second)
+			}
+			w.same("returned", w.cloud.gone("i-1"), true)
+			if starts < 2 || starts > 5 {
+				t.Errorf("answers probes %v: %d starts in %d reports", answersProbes, starts, reports)
+			}
+			well.serve(n, 5)
+			w.same("runs elsewhere", len(well.running()), 1)
+		})
+	}
+	play(t, func(w *world) {
+		n := w.start("n0")
+		k := w.worker("i-1", "a", false)
+		k.serve(n, 2)
+		for i := range 12 {
+			w.submit(n, spec("job-"+string(rune('1'+i)), 1))
+			if _, err := k.send(n); err != nil { // its answer is lost
+				t.Fatal(err)
+			}
+			k.serve(n, 2)
+			k.exit(api.CauseDone)
+			k.serve(n, 2)
+		}
+		w.same("kept", w.cloud.gone("i-1"), false)
+	})
+}
+
+// A machine whose lease ends although it is answered does not hear the answers,
+// even if there was nothing to order.
+func TestSessionsThatEndShowADeafMachine(t *testing.T) {
+	play(t, func(w *world) {
+		n := w.start("n0")
+		k := w.worker("i-1", "a", false)
+		k.serve(n, 2)
+		w.dead.Store("i-1", true)
+		for range 10 {
+			if w.cloud.gone("i-1") {
+				return
+			}
+			k.rep.Session++
+			if _, err := k.send(n); err != nil {
+				break
+			}
+			time.Sleep(time.Second)
+		}
+		w.same("returned", w.cloud.gone("i-1"), true)
+	})
+}
+
+// A deaf machine on the roster shows the old token in report after report. A
+// takeover must not wait for it without end, and its capacity must not stay
+// charged against every team.
+func TestTakeoverDoesNotWaitForADeafMachine(t *testing.T) {
+	for _, answersProbes := range []bool{false, true} {
+		play(t, func(w *world) {
+			a := w.start("n0")
+			deaf, well := w.worker("i-1", "a", false), w.worker("i-2", "a", false)
+			deaf.serve(a, 2)
+			w.submit(a, spec("job-1", 4))
+			deaf.serve(a, 2)
+			w.same("running", len(deaf.running()), 4)
+			a.crash()
+			if !answersProbes {
+				w.dead.Store("i-1", true)
+			}
+			b := w.start("n0")
+			old := deaf.rep
+			for range 20 {
+				old.Seq++
+				rep := old
+				deaf.deliver(b, &rep)
+				well.report(b)
+				time.Sleep(time.Second)
+			}
+			w.same("returned", w.cloud.gone("i-1"), true)
+			w.same("runs elsewhere", len(well.running()), 4)
+		})
+	}
+}
+
+// A copy of an old report, however late, changes nothing in this term: no sign
+// of life, no attempt, no orders.
+func TestLateCopyIsNoSignOfLife(t *testing.T) {
+	play(t, func(w *world) {
+		n := w.start("n0")
+		k, other := w.worker("i-1", "a", false), w.worker("i-2", "a", false)
+		w.submit(n, spec("job-1", 1))
+		k.serve(n, 3)
+		w.same("running", len(k.running()), 1)
+		copied := k.rep
+		copied.Tasks = slices.Clone(k.rep.Tasks)
+		k.serve(n, 2)
+		w.dead.Store("i-1", true) // dies; copies of its reports go on
+		for range 12 {
+			rep := copied
+			if orders, err := k.deliver(n, &rep); err == nil {
+				w.same("orders for a copy", len(orders), 0)
+			}
+			other.report(n)
+			time.Sleep(time.Second)
+		}
+		w.same("returned", w.cloud.gone("i-1"), true)
+		w.same("runs elsewhere", len(other.running()), 1)
+	})
+}
+
+// After a takeover a copy may come before the machine's own report, or from a
+// machine that an earlier leader has returned, which this one cannot know.
+func TestLateCopyAfterATakeover(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.start("n0")
+		gone, k, other := w.worker("i-1", "a", false), w.worker("i-2", "a", false), w.worker("i-3", "a", false)
+		fresh := gone.rep // its very first report, with no token
+		fresh.Seq = 1
+		w.submit(a, spec("job-1", 1))
+		gone.serve(a, 3)
+		w.same("first run", len(gone.running()), 1)
+		copied := gone.rep
+		copied.Tasks = slices.Clone(gone.rep.Tasks)
+		w.dead.Store("i-1", true)
+		for range 8 {
+			k.report(a)
+			time.Sleep(time.Second)
+		}
+		w.same("returned", w.cloud.gone("i-1"), true)
+		w.same("second run", len(k.running()), 1)
+		a.crash()
+		b := w.start("n0")
+		for i := range 12 {
+			for _, rep := range []api.Report{fresh, copied} {
+				rep.Seq += uint64(i % 2)
+				if orders, err := gone.deliver(b, &rep); err == nil {
+					w.same("orders for a copy", len(orders), 0)
+				}
+			}
+			for _, o := range append(k.report(b), other.report(b)...) {
+				w.same("order", o, nil)
+			}
+			time.Sleep(time.Second)
+		}
+		w.same("second run goes on", len(k.running()), 1)
+		w.same("brought back", w.store.Has(store.MachinePrefix+"i-1"), false)
+		w.same("returned", w.cloud.returned, []string{"i-1"})
+		w.same("phase", w.phase(b, "job-1"), "running")
+	})
+}
+
+// While reports are held up by a cut, runs seem long that have ended: neither
+// are they restarted, nor are their machines taken for slow.
+func TestRunsBeyondACutAreNotSlow(t *testing.T) {
+	play(t, func(w *world) {
+		n := w.start("n0")
+		near, far := w.worker("i-1", "a", false), w.worker("i-2", "b", false)
+		s := spec("job-1", 40)
+		s.EstimateS = 4
+		w.submit(n, s)
+		round := func(cut bool) {
+			for range 5 {
+				near.report(n)
+				if !cut {
+					far.report(n)
+				}
+				time.Sleep(time.Second)
+			}
+			near.exit(api.CauseDone)
+			far.exit(api.CauseDone)
+		}
+		round(false)
+		round(false)
+		for range 5 {
+			round(true)
+		}
+		n.look(func(c *Controller) { w.same("restarted", len(c.reign.jobs["job-1"].restarted), 0) })
+		round(false)
+		round(false)
+		round(false)
+		w.same("taken for slow", w.cloud.gone("i-2"), false)
+	})
+}
