Images followed with their cache; rentals side by side; nobody overlooked

- Dearer kinds are asked at the same time while much is lacking, and what remains at once: the first fleet was asked for over 10 s, one kind a second.
- A job without a start for 90 s goes before all, and one start in eight goes to the job that has given way for longest, over two minutes.
A test plays lasting overload and fails without either.
- A data race between probes and reports, found by the race detector, is gone.

--- /dev/null
+++ b/internal/controller/images.go
@@ -0,0 +1,86 @@
+package controller
+
+import (
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+)
+
+// imageCache is what a leader believes a machine to have cached: the images
+// used last, up to the room for them.
+type imageCache struct {
+	used map[string]cached
+	gb   float64
+}
+
+type cached struct {
+	at time.Time
+	gb float64
+}
+
+// has tells whether an image is cached.
+func (c *imageCache) has(image string) bool { _, ok := c.used[image]; return ok }
+
+// use notes that a job's image is on the machine, and drops the images used
+// longest ago for which there is no more room.
+func (c *imageCache) use(s *api.JobSpec, room float64, now time.Time) {
+	if c.used == nil {
+		c.used = map[string]cached{}
+	}
+	c.gb += s.ImageGB - c.used[s.Image].gb
+	c.used[s.Image] = cached{now, s.ImageGB}
+	for room > 0 && c.gb > room && len(c.used) > 1 {
+		oldest := ""
+		for name, u := range c.used {
+			if name != s.Image && (oldest == "" || u.at.Before(c.used[oldest].at)) {
+				oldest = name
+			}
+		}
+		c.gb -= c.used[oldest].gb
+		delete(c.used, oldest)
+	}
+}
+
+// hold counts the CPUs of the open machines that have each image.
+func (r *reign) countHolders(now time.Time) {
+	clear(r.holders)
+	for _, m := range r.machines {
+		if !m.open(now) {
+			continue
+		}
+		for image := range m.images.used {
+			r.holders[image] += m.cpus
+		}
+	}
+}
+
+// fetchTime is how long a machine takes to fetch a job's image, if it must.
+func (r *reign) fetchTime(j *job, m *machine) time.Duration {
+	rate := r.c.types.load()[m.typ].FetchGBs
+	if rate <= 0 || m.images.has(j.spec.Image) || m.fetching[j.spec.Image] {
+		return 0
+	}
+	return time.Duration(j.spec.ImageGB / rate * float64(time.Second))
+}
+
+// suits tells whether a machine should serve a job before others because it
+// has the image, or because waiting for machines that have it would take longer
+// than the fetch. Room on a full fleet comes free where tasks end; fetching
+// images everywhere would hold much of it idle.
+func (r *reign) suits(j *job, m *machine, now time.Time) bool {
+	fetch := r.fetchTime(j, m)
+	if fetch == 0 {
+		return true
+	}
+	if j.passed.IsZero() {
+		j.passed = now
+	}
+	// What the holders free in the time of the fetch, if their CPUs come free
+	// once in an estimated run of this job.
+	freed := r.holders[j.spec.Image] * fetch.Seconds() / max(j.spec.EstimateS, 1)
+	return freed < float64(j.flight.Untaken())*j.spec.CPUs || now.Sub(j.passed) > passFetches*fetch
+}
+
+// passFetches is for how many times the fetch a job may be passed over by
+// machines without its image.
+const passFetches = 2
--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -23,9 +23,11 @@
 	aims     []time.Time
 	latest   time.Time
 	hopeless bool
-	load     queue.Load
-	rank     int
-	team     *queue.Team[*job]
+	// overlooked is set while none of its tasks has begun for too long.
+	overlooked bool
+	load       queue.Load
+	rank       int
+	team       *queue.Team[*job]
 
 	flight *flight.Flight
 	// live holds for each task that may be on a machine its current attempt.
@@ -48,8 +50,9 @@
 	faulty    int
 	heldUntil time.Time
 
-	// waiting is when tasks of the job last began to wait.
-	waiting time.Time
+	// waiting is when tasks of the job last began to wait, and passed when a
+	// machine without its image first passed it over since its last start.
+	waiting, passed time.Time
 	// What the log says of a job at its end.
 	lost                  int
 	firstStart, lastStart time.Time
@@ -88,6 +91,14 @@
 	j.hopeless = true
 }
 
+// begun tells whether any task has begun or is about to.
+func (j *job) begun() bool { return len(j.live) > 0 || j.doneCount > 0 || !j.firstStart.IsZero() }
+
+// behind tells whether the job gives way to others although it has waited long.
+func (j *job) behind(now time.Time) bool {
+	return (j.hopeless || j.load.Defer) && now.Sub(j.accepted) > longWait
+}
+
 func (j *job) taskRef(task int) string { return j.spec.ID + "/" + strconv.Itoa(task) }
 
 // splitRef is the reverse of taskRef.
@@ -186,6 +197,8 @@
 	// nextProbe and probeFails belong to the watch over silent machines.
 	nextProbe  time.Time
 	probeFails int
+	// sentOn is when the machine was last told to report to a nearer node.
+	sentOn time.Time
 	// kept is until when another node is known to keep the machine alive.
 	kept    time.Time
 	since   time.Time
@@ -194,7 +207,7 @@
 
 	attempts map[attemptKey]*attempt
 	foreign  int
-	images   map[string]time.Time
+	images   imageCache
 	// fetching are the images that tasks on the machine wait for.
 	fetching map[string]bool
 
@@ -244,7 +257,7 @@
 		if a.exited || a.job == nil || (a.phase != "" && a.phase != api.TaskPulling) {
 			continue
 		}
-		if _, ok := m.images[a.job.spec.Image]; !ok {
+		if !m.images.has(a.job.spec.Image) {
 			m.fetching[a.job.spec.Image] = true
 		}
 	}
@@ -253,10 +266,7 @@
 // canFetch tells whether the machine has an image, or may begin to fetch it
 // beside at most others.
 func (m *machine) canFetch(image string, most int) bool {
-	if _, ok := m.images[image]; ok {
-		return true
-	}
-	return m.fetching[image] || len(m.fetching) < most
+	return m.images.has(image) || m.fetching[image] || len(m.fetching) < most
 }
 
 // open tells whether the machine may be given tasks.
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -53,11 +53,15 @@
 	recorder recorder
 	renter   renter
 	counts   counters
+	// holders are the CPUs of open machines by the images that they have.
+	holders map[string]float64
 	// fetches is how many images a machine may fetch at the same time now.
-	fetches  int
-	nextScan time.Time
-	nextUse  time.Time
-	lastTick time.Time
+	fetches int
+	// overlooked is how many jobs have had no start for too long.
+	overlooked int
+	nextScan   time.Time
+	nextUse    time.Time
+	lastTick   time.Time
 	// listening is since when this node can hear its machines.
 	listening time.Time
 	probing   int
@@ -89,6 +93,7 @@
 		machines: map[string]*machine{}, expected: map[string]*expected{}, returned: returned,
 	}
 	r.keptMarks = map[string]uint64{}
+	r.holders = map[string]float64{}
 	r.counts = newCounters()
 	r.fetches = manyFetches
 	r.confirm.r = r
@@ -329,6 +334,7 @@
 	}
 	r.nextScan = now.Add(time.Second)
 	r.triage(now)
+	r.countHolders(now)
 	r.scanMachines(now)
 	r.scanOverdue(now)
 	r.renter.tick(now)
@@ -352,9 +358,13 @@
 		}
 	}
 	var loads []*queue.Load
+	r.overlooked = 0
 	for _, t := range r.turns {
 		for _, j := range t.Items() {
 			j.look(now)
+			if j.overlooked = !j.begun() && now.Sub(j.accepted) > beginWithin; j.overlooked {
+				r.overlooked++
+			}
 			waiting += float64(j.flight.Untaken()) * j.spec.CPUs
 			j.load = queue.Load{}
 			if j.hopeless || j.finishing || len(loads) == maxTriage {
@@ -463,7 +473,7 @@
 
 func (r *reign) addMachine(name, typ, zone string, spot bool, now time.Time) *machine {
 	m := &machine{name: name, typ: typ, zone: zone, spot: spot, lastSeen: now, since: now, idle: now,
-		attempts: map[attemptKey]*attempt{}, images: map[string]time.Time{}, errorJobs: map[string]int{}}
+		attempts: map[attemptKey]*attempt{}, errorJobs: map[string]int{}}
 	if mt, ok := r.c.types.load()[typ]; ok {
 		m.cpus, m.gpus, m.memory = mt.CPUs, mt.GPUs, mt.MemoryGB
 	}
--- a/internal/controller/renter.go
+++ b/internal/controller/renter.go
@@ -91,7 +91,7 @@
 	if lack <= 0 || f.renting >= maxRenting || r.unheard > 0 {
 		return
 	}
-	for _, p := range fleet.Plan(lack, f.offers(now), cloud.MaxRent) {
+	for _, p := range fleet.Plan(lack, f.offers(now), cloud.MaxRent, maxRenting-f.renting) {
 		f.named++
 		f.renting++
 		f.asked += float64(p.Count) * p.CPUs
@@ -277,6 +277,9 @@
 			r.expected[h] = &expected{typ: m.req.Type, zone: m.req.Zone, spot: m.req.Spot, since: now, boot: m.o.Boot, cpus: m.o.CPUs}
 		}
 	}
+	if c.valid() {
+		r.renter.rent(now) // what is still lacking is asked for at once
+	}
 }
 
 // idle picks the machines to give back: empty for long enough, the dearest
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -174,6 +174,11 @@
 	return orders
 }
 
+// hasImage notes that a machine has a job's image.
+func (r *reign) hasImage(m *machine, s *api.JobSpec, now time.Time) {
+	m.images.use(s, r.c.types.load()[m.typ].CacheGB, now)
+}
+
 // adopt takes in an attempt that this leader did not start.
 func (r *reign) adopt(m *machine, key attemptKey, t *api.TaskReport, now time.Time) *attempt {
 	a := &attempt{key: key, machine: m, phase: t.Phase, sentAt: now}
@@ -182,6 +187,9 @@
 	if j := r.jobs[id]; ok && j != nil && task < j.spec.Tasks {
 		a.job, a.task = j, task
 	}
+	if a.job != nil && (t.Phase == api.TaskRunning || t.Phase == api.TaskSaving || t.Cause == api.CauseDone) {
+		r.hasImage(m, &a.job.spec, now)
+	}
 	if t.Phase == api.TaskExited {
 		a.exited = true
 		return a
@@ -209,7 +217,7 @@
 				record(r.counts.firstStart, now.Sub(a.job.accepted))
 			}
 			a.job.lastStart = now
-			a.machine.images[a.job.spec.Image] = now
+			r.hasImage(a.machine, &a.job.spec, now)
 		}
 	}
 	if t.Phase != api.TaskExited {
@@ -240,7 +248,7 @@
 		j.faulty = 0
 		m.pause = 0
 		clear(m.errorJobs)
-		m.images[j.spec.Image] = now
+		r.hasImage(m, &j.spec, now)
 	}
 	r.release(a)
 	switch t.Cause {
@@ -339,9 +347,10 @@
 		a := &attempt{key: attemptKey{j.taskRef(task), r.nextAttempt()}, machine: m, job: j, task: task,
 			sentSeq: m.seq, sentAt: now}
 		m.attempts[a.key] = a
-		if _, ok := m.images[j.spec.Image]; !ok {
+		if !m.images.has(j.spec.Image) {
 			m.fetching[j.spec.Image] = true
 		}
+		j.passed = time.Time{}
 		j.live[task] = a
 		a.charge(1)
 		r.counts.started++
@@ -358,31 +367,68 @@
 	if m.freeCPUs() < slack && m.gpus <= m.usedGPUs {
 		return nil
 	}
-	var best *job
-	for _, t := range r.turns {
-		j := r.first(t, m, true, now)
-		if j != nil && (best == nil || queue.Before(j, best)) {
-			best = j
+	if j := r.behindFirst(m, now); j != nil {
+		return j
+	}
+	for _, suited := range []bool{true, false} {
+		var best *job
+		for _, t := range r.turns {
+			j := r.first(t, m, true, suited, now)
+			if j != nil && (best == nil || queue.Before(j, best)) {
+				best = j
+			}
+		}
+		if best != nil {
+			return best
+		}
+		queue.Turns(r.turns)
+		for _, t := range r.turns {
+			if j := r.first(t, m, false, suited, now); j != nil {
+				return j
+			}
 		}
 	}
-	if best != nil {
-		return best
+	return nil
+}
+
+// Jobs that cannot be in time give way to those that can, but not without
+// end, or under lasting overload the largest would never run. One that has had
+// no start for a part of the time in which every job must begin goes before
+// all; and of all starts, one in behindShare goes to the job that has waited
+// longest, once that is long.
+const (
+	beginWithin = 90 * time.Second
+	longWait    = 2 * time.Minute
+	behindShare = 8
+)
+
+// behindFirst is the job that goes before all others on a machine, if any.
+func (r *reign) behindFirst(m *machine, now time.Time) *job {
+	var best *job
+	turn := r.attempts%behindShare == 0
+	if !turn && r.overlooked == 0 {
+		return nil
 	}
-	queue.Turns(r.turns)
 	for _, t := range r.turns {
-		if j := r.first(t, m, false, now); j != nil {
-			return j
+		for _, j := range t.Items() {
+			if j.flight.Untaken() == 0 || !(j.overlooked && !j.begun() || turn && j.behind(now)) {
+				continue
+			}
+			if (best == nil || j.accepted.Before(best.accepted)) && r.eligible(j, m, now) {
+				best = j
+			}
 		}
 	}
-	return nil
+	return best
 }
 
 // first is the first job of a team's queue that this machine may serve, among
-// those whose next task is within the guarantee or among the others.
-func (r *reign) first(t *queue.Team[*job], m *machine, guaranteed bool, now time.Time) *job {
+// those whose next task is within the guarantee or among the others, and among
+// those that the machine suits or among all.
+func (r *reign) first(t *queue.Team[*job], m *machine, guaranteed, suited bool, now time.Time) *job {
 	for _, j := range t.Items() {
 		if j.flight.Untaken() > 0 && t.Guaranteed(j.spec.CPUs, j.spec.GPUs) == guaranteed &&
-			r.eligible(j, m, now) && !r.betterElsewhere(j, m, now) {
+			r.eligible(j, m, now) && (!suited || r.suits(j, m, now)) && !r.betterElsewhere(j, m, now) {
 			return j
 		}
 	}
@@ -449,7 +495,7 @@
 func (r *reign) strain(j *job, m *machine) float64 {
 	mt := r.c.types.load()[m.typ]
 	lost := 0.0
-	if _, ok := m.images[j.spec.Image]; !ok && mt.FetchGBs > 0 {
+	if !m.images.has(j.spec.Image) && mt.FetchGBs > 0 {
 		lost += j.spec.ImageGB / mt.FetchGBs
 	}
 	if m.usedCPUs < slack {
--- a/internal/controller/silence.go
+++ b/internal/controller/silence.go
@@ -97,10 +97,11 @@
 		return
 	}
 	r.probing++
+	addr := m.addr // the machine is the owner's
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, probeTimeout)
 		defer cancel()
-		r.post(probedMsg{r, m, now, p.Probe(ctx, m.addr)})
+		r.post(probedMsg{r, m, now, p.Probe(ctx, addr)})
 	}()
 }
 
--- a/internal/controller/trouble_test.go
+++ b/internal/controller/trouble_test.go
@@ -1,7 +1,9 @@
 package controller
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -212,3 +214,43 @@
 		w.same("taken for slow", w.cloud.gone("i-2"), false)
 	})
 }
+
+// Under lasting overload the largest job gives way again and again to others
+// that can be in time, and those that are hopeless to those that are not. Each
+// must begin all the same, and go on.
+func TestLargestJobBeginsUnderLastingOverload(t *testing.T) {
+	play(t, func(w *world) {
+		n := w.start("n0")
+		k := w.worker("i-1", "a", false)
+		k.serve(n, 2)
+		big := spec("job-1", 60)
+		big.EstimateS = 60
+		w.submit(n, big)
+		begun, started := time.Duration(0), 0
+		t0 := time.Now()
+		for i := range 1200 {
+			if i%2 == 0 {
+				s := spec(fmt.Sprint("job-", 100+i), 8)
+				s.EstimateS = 5
+				w.submit(n, s)
+			}
+			for _, o := range k.report(n) {
+				if o.Verb == api.VerbStart && strings.HasPrefix(o.Task, "job-1/") {
+					if started++; begun == 0 {
+						begun = time.Since(t0)
+					}
+				}
+			}
+			if i%5 == 4 {
+				k.exit(api.CauseDone)
+			}
+			time.Sleep(800 * time.Millisecond)
+		}
+		if begun == 0 || begun > 4*time.Minute {
+			t.Errorf("begun after %v", begun)
+		}
+		if started < 40 {
+			t.Errorf("only %d of its tasks started", started)
+		}
+	})
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -26,17 +26,25 @@
 
 // Plan covers a lack of CPUs with the cheapest offers. Offers are tried in the
 // order of the price of a CPU; the caller leaves out those that were refused
-// lately. At most most machines are asked for at once.
-func Plan(lack float64, offers []Offer, most int) []Purchase {
-	if lack <= 0 || len(offers) == 0 {
-		return nil
-	}
-	best := slices.MinFunc(offers, func(a, b Offer) int {
+// lately. At most most machines are asked for at once. How many an offer can
+// give is not known, so what remains waits for its answer, and dearer offers
+// are asked at the same time only while much remains: at most asks in all.
+func Plan(lack float64, offers []Offer, most, asks int) []Purchase {
+	offers = slices.Clone(offers)
+	slices.SortFunc(offers, func(a, b Offer) int {
 		return cmp.Or(cmp.Compare(a.Price/a.CPUs, b.Price/b.CPUs), cmp.Compare(a.CPUs, b.CPUs),
 			cmp.Compare(a.Zone, b.Zone))
 	})
-	n := min(int(math.Ceil(lack/best.CPUs)), most)
-	return []Purchase{{best, n}}
+	var out []Purchase
+	for _, o := range offers {
+		if len(out) == asks || lack <= 0 || (len(out) > 0 && lack < float64(most)*o.CPUs) {
+			break
+		}
+		n := min(int(math.Ceil(lack/o.CPUs)), most)
+		out = append(out, Purchase{o, n})
+		lack -= float64(n) * o.CPUs
+	}
+	return out
 }
 
 // Kind is what the cloud's capacity depends on.
