Shut out of the store a leader resigns; reports pass through the machine's zone

One that the store refuses while it answers others resigns if it leads, and another takes over at once instead of after up to 30 s; it is not ready for users meanwhile. An outage for all is told apart by how long the store has answered the others. - Polls go to the leader, the node's own store, then other nodes' stores. - Machines of another zone than the leader's report through a node of their own zone, which passes the reports on and keeps their leases up without a break when the zones are apart.

--- /dev/null
+++ b/internal/controller/apart_test.go
@@ -0,0 +1,228 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+)
+
+// pair is a leader n0 and a follower n1, each with its own way to the store.
+func (w *world) pair(zones ...string) (l *links, a, b *node, ga, gb *gate) {
+	if len(zones) == 2 {
+		w.zones = map[string]string{"n0": zones[0], "n1": zones[1]}
+	}
+	l, ga, gb = &links{}, &gate{Fake: w.store}, &gate{Fake: w.store}
+	a = l.add("n0", w.startWith("n0", ga, l))
+	b = l.add("n1", w.startWith("n1", gb, l))
+	time.Sleep(12 * time.Second)
+	return l, a, b, ga, gb
+}
+
+// answered is a worker's report to whichever node answers it.
+func (k *worker) either(nodes ...*node) {
+	for _, n := range nodes {
+		if orders, err := k.send(n); err == nil {
+			k.obey(orders)
+			return
+		}
+	}
+}
+
+// A leader that the store refuses while it answers others resigns, instead of
+// holding the leadership until its lease ends: the other takes over at once
+// and the work goes on, with no task on two machines. Users' polls are answered
+// at both, and new users are sent to the other.
+func TestLeaderRefusedByTheStoreResigns(t *testing.T) {
+	play(t, func(w *world) {
+		_, a, b, ga, _ := w.pair()
+		k := w.worker("i-1", "", false)
+		w.submit(a, spec("job-1", 6))
+		k.serve(a, 3)
+		w.same("running", len(k.running()), 4)
+		term := k.rep.Term
+		ga.set(true)
+		for range 10 {
+			k.either(a, b)
+			time.Sleep(time.Second)
+		}
+		w.same("next term", k.rep.Term > term, true)
+		w.same("goes on", len(k.running()), 4)
+		w.same("refused node ready", a.Ready(), false)
+		w.same("other node ready", b.Ready(), true)
+		w.same("poll at the refused node", w.phase(a, "job-1"), "running")
+		if _, err := b.Abort(context.Background(), "job-1"); err != nil {
+			t.Error(err)
+		}
+		w.same("cancelled, at the refused node", w.phase(a, "job-1"), "withdrawn")
+		k.either(a, b)
+		k.either(a, b)
+		w.same("stopped", len(k.running()), 0)
+		ga.set(false)
+		time.Sleep(4 * time.Second)
+		w.same("ready again", a.Ready(), true)
+		if _, err := k.send(a); err == nil {
+			t.Error("the former leader answered a machine")
+		}
+	})
+}
+
+// An outage is not mistaken for being shut out: nobody resigns, and all stay
+// ready, or users would find no node when it ends.
+func TestOutageIsNotMistakenForBeingShutOut(t *testing.T) {
+	play(t, func(w *world) {
+		_, a, b, _, _ := w.pair()
+		k := w.worker("i-1", "", false)
+		k.serve(a, 2)
+		term := k.rep.Term
+		w.store.SetDown(true)
+		for range 25 {
+			k.either(a, b)
+			w.same("ready", a.Ready() && b.Ready(), true)
+			time.Sleep(time.Second)
+		}
+		w.store.SetDown(false)
+		for range 12 {
+			k.either(a, b)
+			time.Sleep(time.Second)
+		}
+		w.same("term", k.rep.Term, term)
+	})
+}
+
+// A node without the store and the other nodes, but with its workers: its
+// entitlement ends in time whether it leads or not, it tells users nothing
+// old, and it draws no users whom it can only fail. Under the next leader
+// nothing runs twice.
+func TestNodeAloneWithItsWorkers(t *testing.T) {
+	play(t, func(w *world) {
+		l, a, b, ga, _ := w.pair()
+		k, other := w.worker("i-1", "", false), w.worker("i-2", "", false)
+		w.submit(a, spec("job-1", 3))
+		k.serve(a, 3)
+		w.same("running", len(k.running()), 3)
+		ga.set(true)
+		l.cut.Store(true)
+		last := time.Now()
+		for range 60 {
+			if orders, err := k.send(a); err == nil {
+				k.obey(orders)
+				last = time.Now()
+			}
+			if _, err := b.Abort(context.Background(), "job-1"); err != nil {
+				t.Error(err)
+			}
+			if got := w.phase(a, "job-1"); got == "running" || got == "pending" || got == "done" {
+				t.Fatalf("told %s after the cancellation", got)
+			}
+			other.either(b)
+			time.Sleep(time.Second)
+		}
+		if answered := time.Since(last); answered < 25*time.Second {
+			t.Errorf("acted until %v ago", answered)
+		}
+		w.same("ready", a.Ready(), false)
+		w.same("the other leads", other.rep.Term > k.rep.Term, true)
+		w.same("ran twice", len(other.running()), 0)
+	})
+	play(t, func(w *world) {
+		l, a, b, _, gb := w.pair()
+		k := w.worker("i-1", "", false)
+		k.serve(a, 2)
+		gb.set(true)
+		l.cut.Store(true)
+		time.Sleep(30 * time.Second)
+		if _, err := k.send(b); err == nil {
+			t.Error("a follower alone answered a machine")
+		}
+		w.same("ready", b.Ready(), false)
+		w.same("leader ready", a.Ready(), true)
+	})
+}
+
+// With the connections between the nodes refused, a follower answers polls of
+// unfinished jobs from the store; refused by the store alone, it asks the
+// leader.
+func TestPollsAreAnsweredAtAFollowerInTrouble(t *testing.T) {
+	play(t, func(w *world) {
+		l, a, b, _, gb := w.pair()
+		k := w.worker("i-1", "", false)
+		w.submit(a, spec("job-1", 1))
+		k.serve(a, 3)
+		l.cut.Store(true)
+		for range 5 {
+			w.same("peers refused", w.phase(b, "job-1"), "pending")
+			k.serve(a, 1)
+		}
+		l.cut.Store(false)
+		gb.set(true)
+		k.serve(a, 5)
+		w.same("store refused", w.phase(b, "job-1"), "running")
+		w.same("unknown job", w.phase(b, "job-9"), api.ErrUnknownJob.Error())
+		k.exit(api.CauseDone)
+		k.serve(a, 3)
+		w.same("done", w.phase(b, "job-1"), "done")
+	})
+}
+
+// While nobody leads, a node refused by the store has another one read it.
+func TestPollWithoutStoreAndLeader(t *testing.T) {
+	play(t, func(w *world) {
+		dead := w.start("n9")
+		w.submit(dead, spec("job-1", 1))
+		dead.crash()
+		_, a, _, ga, _ := w.pair()
+		ga.set(true)
+		time.Sleep(4 * time.Second)
+		w.same("known job", w.phase(a, "job-1"), "pending")
+		w.same("unknown job", w.phase(a, "job-2"), api.ErrUnknownJob.Error())
+	})
+}
+
+// A machine of another zone than the leader's reports through a node of its
+// own zone. When the zones cannot reach each other any more, its lease is kept
+// up there without a break.
+func TestReportsPassThroughANodeOfTheZone(t *testing.T) {
+	play(t, func(w *world) {
+		l, a, b, _, _ := w.pair("a", "b")
+		near, far := w.worker("i-1", "a", false), w.worker("i-2", "b", false)
+		near.serve(a, 3)
+		far.serve(a, 2)
+		var other *api.NotLeaderError
+		if _, err := far.send(a); !errors.As(err, &other) || other.Leader != "n1" {
+			t.Fatalf("sent on: %v", err)
+		}
+		far.serve(b, 2)
+		w.submit(a, spec("job-1", 8))
+		near.serve(a, 4)
+		far.serve(b, 4)
+		w.same("passed on", len(far.running()), 4)
+		w.same("direct", len(near.running()), 4)
+		far.exit(api.CauseDone)
+		far.serve(b, 4)
+		w.same("results", w.phase(a, "job-1"), "running")
+		l.cut.Store(true)
+		for i := range 30 {
+			if _, err := far.send(b); err != nil {
+				b.look(func(c *Controller) { t.Logf("%+v", c.keep) })
+				t.Fatalf("not kept alive after %d s: %v", i, err)
+			}
+			near.report(a)
+			time.Sleep(time.Second)
+		}
+		w.same("given up", w.cloud.gone("i-2"), false)
+		l.cut.Store(false)
+		far.serve(b, 3)
+		w.submit(a, spec("job-2", 4))
+		far.serve(b, 3)
+		w.same("goes on", len(far.running()), 4)
+		// One node being sent to the other and back must end.
+		if _, err := far.send(a); err != nil {
+			if _, err = far.send(a); err != nil {
+				t.Errorf("sent to and fro: %v", err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/controller/around.go
@@ -0,0 +1,242 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/config"
+	"example.org/ivytrestle/internal/election"
+)
+
+// Standing is how a node stands, as it tells the others.
+type Standing struct {
+	// Term is the term in which it leads at this moment, or 0.
+	Term uint64
+	// Leader is the node that it takes for the leader.
+	Leader string
+	// StoreOK is for how long the state service has answered it.
+	StoreOK time.Duration
+}
+
+// around is what a node knows of the others and of its own way to the state
+// service.
+type around struct {
+	nodes map[string]*neighbour
+	// storeAt is when the service last answered, storeSince since when it has
+	// done so without a break, or has not.
+	storeAt    time.Time
+	storeOK    bool
+	storeSince time.Time
+}
+
+// neighbour is another node as last heard of.
+type neighbour struct {
+	Standing
+	zone   string
+	seen   time.Time
+	failed int
+}
+
+func newAround(peers []config.Peer, now time.Time) around {
+	a := around{nodes: map[string]*neighbour{}, storeSince: now}
+	for _, p := range peers {
+		a.nodes[p.Node] = &neighbour{zone: p.Zone}
+	}
+	return a
+}
+
+const (
+	pingEvery   = time.Second
+	pingTimeout = 800 * time.Millisecond
+	// unreachedAfter is how many pings in a row must fail.
+	unreachedAfter = 2
+	storeEvery     = 1500 * time.Millisecond
+	storeTimeout   = 1200 * time.Millisecond
+	// storeLostAfter is how long the service must not answer this node before
+	// it takes itself for shut out, and storeSureAfter how long it must have
+	// answered another one, so that neither the beginning nor the end of an
+	// outage looks like that.
+	storeLostAfter = 5 * time.Second
+	storeSureAfter = 8 * time.Second
+)
+
+// reached tells whether the node has answered just now.
+func (n *neighbour) reached(now time.Time) bool {
+	return n != nil && n.failed == 0 && now.Sub(n.seen) < 3*pingEvery
+}
+
+// leads names the node that leads, as far as known here.
+func (c *Controller) leads(now time.Time) string {
+	if c.leader != "" && c.leader != c.Settings.Node && c.around.storeOK {
+		return c.leader
+	}
+	best, term := "", uint64(0)
+	for name, n := range c.around.nodes {
+		if n.reached(now) && n.Term > term {
+			best, term = name, n.Term
+		}
+	}
+	if best == "" && c.leader != c.Settings.Node {
+		return c.leader
+	}
+	return best
+}
+
+// watchStore asks the state service from time to time, only to know whether it
+// answers this node.
+func (c *Controller) watchStore(ctx context.Context) {
+	for ctx.Err() == nil {
+		sctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		_, err := c.Store.Get(sctx, election.LeaderKey)
+		cancel()
+		if c.send(ctx, storeMsg{err == nil}) != nil {
+			return
+		}
+		pause(ctx, storeEvery)
+	}
+}
+
+type storeMsg struct{ ok bool }
+
+func (m storeMsg) apply(c *Controller) {
+	now := time.Now()
+	a := &c.around
+	if m.ok {
+		a.storeAt = now
+	}
+	if m.ok != a.storeOK {
+		a.storeOK, a.storeSince = m.ok, now
+	}
+}
+
+// watchPeer pings another node, and while that leads and cannot be reached
+// keeps what the keeper must know up to date.
+func (c *Controller) watchPeer(ctx context.Context, node string) {
+	failed := 0
+	for ctx.Err() == nil {
+		sent := time.Now()
+		pctx, cancel := context.WithTimeout(ctx, pingTimeout)
+		st, err := c.Peers.Ping(pctx, node)
+		cancel()
+		failed++
+		if err == nil || errors.Is(err, api.ErrUnavailable) {
+			failed = 0
+		}
+		if c.send(ctx, peerMsg{node, st, sent, failed}) != nil {
+			return
+		}
+		if failed >= unreachedAfter {
+			c.keepUp(ctx, node)
+		}
+		pause(ctx, pingEvery)
+	}
+}
+
+type peerMsg struct {
+	node   string
+	st     Standing
+	sent   time.Time
+	failed int
+}
+
+func (m peerMsg) apply(c *Controller) {
+	n := c.around.nodes[m.node]
+	if n == nil {
+		return
+	}
+	if n.failed = m.failed; m.failed > 0 {
+		return
+	}
+	n.Standing, n.seen = m.st, m.sent
+	if m.node == c.leader {
+		c.keep.verify(m.node, m.st.Term, m.sent)
+	}
+}
+
+// lookAround draws the conclusions: a node that the state service refuses
+// while it answers others can only fail its users, and cannot lead.
+func (c *Controller) lookAround(now time.Time) {
+	a := &c.around
+	if a.storeOK || now.Sub(a.storeSince) < storeLostAfter {
+		if c.shut.Swap(false) {
+			c.Log.Info("state service reached again")
+		}
+		return
+	}
+	reached, heir := 0, ""
+	for name, n := range a.nodes {
+		if !n.reached(now) {
+			continue
+		}
+		reached++
+		if n.StoreOK >= storeSureAfter {
+			heir = name
+		}
+	}
+	// With no other node in reach it cannot be told whether it is an outage;
+	// then, too, users are better served elsewhere, if they are anywhere.
+	if shut := heir != "" || (reached == 0 && len(a.nodes) > 0); shut != c.shut.Load() {
+		c.shut.Store(shut)
+		c.Log.Info("state service lost here", "answersOthers", heir != "", "nodesReached", reached)
+	}
+	if r := c.reign; r != nil && heir != "" {
+		c.Log.Info("leadership resigned", "term", r.term.Number, "to", heir)
+		term := r.term.Number
+		r.depose() // from here on this node acts for nobody
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			if err := c.Peers.Resign(ctx, heir, c.Settings.Node, term); err != nil {
+				c.Log.Debug("resignation not taken", "to", heir, "err", err)
+			}
+		}()
+	}
+}
+
+// LeaderResigned takes in that a leader has stopped to act.
+func (c *Controller) LeaderResigned(ctx context.Context, node string, term uint64) error {
+	return c.send(ctx, resignedMsg{node, term})
+}
+
+type resignedMsg struct {
+	node string
+	term uint64
+}
+
+func (m resignedMsg) apply(c *Controller) {
+	c.Log.Info("leader has resigned", "leader", m.node, "term", m.term)
+	select {
+	case c.resigns <- m.node:
+	default:
+	}
+}
+
+// Standing is how this node stands.
+func (c *Controller) Standing(ctx context.Context) (Standing, error) {
+	m := standingMsg{make(chan Standing, 1)}
+	if err := c.send(ctx, m); err != nil {
+		return Standing{}, err
+	}
+	select {
+	case st := <-m.reply:
+		return st, nil
+	case <-ctx.Done():
+		return Standing{}, ctx.Err()
+	}
+}
+
+type standingMsg struct{ reply chan Standing }
+
+func (m standingMsg) apply(c *Controller) {
+	now := time.Now()
+	st := Standing{Leader: c.leader}
+	if c.valid() {
+		st.Term = c.reign.term.Number
+	}
+	if c.around.storeOK && now.Sub(c.around.storeAt) < 2*storeEvery {
+		st.StoreOK = max(now.Sub(c.around.storeSince), time.Millisecond)
+	}
+	m.reply <- st
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -20,12 +21,17 @@
 	"example.org/ivytrestle/internal/store"
 )
 
-// PeerAsker asks another node about a job.
+// PeerAsker speaks to the other nodes.
 type PeerAsker interface {
 	// Job returns ErrUnavailable when the node cannot answer.
 	Job(ctx context.Context, node, id string) (api.JobState, error)
-	// Ping returns the term in which the node leads, or 0, if it can be reached.
-	Ping(ctx context.Context, node string) (uint64, error)
+	// Ping returns how the node stands, if it can be reached.
+	Ping(ctx context.Context, node string) (Standing, error)
+	// Report passes a machine's report on to the leader. NotLeaderError means
+	// that the node does not lead.
+	Report(ctx context.Context, node string, rep *api.Report) (api.ReportAnswer, error)
+	// Resign tells a node that self has stopped to act in a term.
+	Resign(ctx context.Context, node, self string, term uint64) error
 }
 
 // Config is what a controller is made of.
@@ -45,12 +51,16 @@
 	records store.Records
 	mail    chan message
 	depose  chan uint64
+	resigns chan string
 	types   typesCell
+	// shut tells the health checks that users are better served elsewhere.
+	shut atomic.Bool
 
 	// The rest belongs to the owner goroutine.
 	leader string
 	reign  *reign
 	keep   keeper
+	around around
 	final  *lru.Cache[string, api.JobState]
 }
 
@@ -68,7 +78,8 @@
 	}
 	return &Controller{
 		Config: cfg, records: store.Records{Store: cfg.Store},
-		mail: make(chan message, 256), depose: make(chan uint64, 4), final: final,
+		mail: make(chan message, 256), depose: make(chan uint64, 4), resigns: make(chan string, 4), final: final,
+		around: newAround(cfg.Settings.Peers, time.Now()),
 	}
 }
 
@@ -77,8 +88,11 @@
 // Run owns the state until the context ends.
 func (c *Controller) Run(ctx context.Context) {
 	go c.refreshTypes(ctx)
+	go c.watchStore(ctx)
 	if c.Peers != nil {
-		go c.watchLeader(ctx)
+		for _, p := range c.Settings.Peers {
+			go c.watchPeer(ctx, p.Node)
+		}
 	}
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
@@ -90,8 +104,10 @@
 		case m := <-c.mail:
 			m.apply(c)
 		case <-tick.C:
+			now := time.Now()
+			c.lookAround(now)
 			if c.reign != nil {
-				c.reign.tick(time.Now())
+				c.reign.tick(now)
 			}
 		}
 	}
@@ -107,6 +123,9 @@
 	}
 }
 
+// Resigns is where the election hears which node has stopped to lead.
+func (c *Controller) Resigns() <-chan string { return c.resigns }
+
 // Depose is where the election hears that a term is over.
 func (c *Controller) Depose() <-chan uint64 { return c.depose }
 
@@ -173,7 +192,7 @@
 }
 
 // Ready implements api.Backend.
-func (c *Controller) Ready() bool { return c.types.load() != nil }
+func (c *Controller) Ready() bool { return c.types.load() != nil && !c.shut.Load() }
 
 // Submit implements api.Backend.
 func (c *Controller) Submit(ctx context.Context, spec *api.JobSpec) (api.JobState, bool, error) {
@@ -267,47 +286,6 @@
 
 func (m finalMsg) apply(c *Controller) { c.final.Add(m.st.ID, m.st) }
 
-// Report implements api.Backend.
-func (c *Controller) Report(ctx context.Context, rep *api.Report) (api.ReportAnswer, error) {
-	m := reportMsg{rep: rep, reply: make(chan reportReply, 1)}
-	if err := c.send(ctx, m); err != nil {
-		return api.ReportAnswer{}, err
-	}
-	select {
-	case r := <-m.reply:
-		return r.ans, r.err
-	case <-ctx.Done():
-		return api.ReportAnswer{}, ctx.Err()
-	}
-}
-
-type reportReply struct {
-	ans api.ReportAnswer
-	err error
-}
-
-type reportMsg struct {
-	rep   *api.Report
-	reply chan reportReply
-}
-
-func (m reportMsg) apply(c *Controller) {
-	if !c.valid() {
-		leader := c.leader
-		if leader == c.Settings.Node {
-			leader = ""
-		}
-		if ans, ok := c.keep.answer(m.rep, leader, c.keepFor(), time.Now()); ok && c.reign == nil {
-			m.reply <- reportReply{ans: ans}
-			return
-		}
-		m.reply <- reportReply{err: &api.NotLeaderError{Leader: leader}}
-		return
-	}
-	ans, err := c.reign.report(m.rep, time.Now())
-	m.reply <- reportReply{ans, err}
-}
-
 // typesLife is how long the machine types are used before they are read again.
 const typesLife = time.Minute
 
--- /dev/null
+++ b/internal/controller/gate.go
@@ -0,0 +1,124 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+)
+
+// passTimeout bounds the way of a report over another node, so that the worker
+// is answered well before it gives up.
+const passTimeout = 1200 * time.Millisecond
+
+// Report implements api.Backend.
+func (c *Controller) Report(ctx context.Context, rep *api.Report) (api.ReportAnswer, error) {
+	r, err := c.take(ctx, reportMsg{rep: rep})
+	if err != nil || r.passTo == "" {
+		return r.ans, err
+	}
+	pctx, cancel := context.WithTimeout(ctx, passTimeout)
+	ans, err := c.Peers.Report(pctx, r.passTo, rep)
+	cancel()
+	var other *api.NotLeaderError
+	if err == nil || errors.As(err, &other) {
+		return ans, err
+	}
+	// The leader cannot be reached from here: its machines are kept alive.
+	r, err = c.take(ctx, reportMsg{rep: rep, unreached: r.passTo})
+	return r.ans, err
+}
+
+// PassedReport takes a report that came to another node.
+func (c *Controller) PassedReport(ctx context.Context, rep *api.Report) (api.ReportAnswer, error) {
+	r, err := c.take(ctx, reportMsg{rep: rep, passed: true})
+	return r.ans, err
+}
+
+func (c *Controller) take(ctx context.Context, m reportMsg) (reportReply, error) {
+	m.reply = make(chan reportReply, 1)
+	if err := c.send(ctx, m); err != nil {
+		return reportReply{}, err
+	}
+	select {
+	case r := <-m.reply:
+		return r, r.err
+	case <-ctx.Done():
+		return reportReply{}, ctx.Err()
+	}
+}
+
+type reportReply struct {
+	ans api.ReportAnswer
+	err error
+	// passTo is the leader that should answer instead.
+	passTo string
+}
+
+type reportMsg struct {
+	rep   *api.Report
+	reply chan reportReply
+	// passed is set if another node has passed the report on, and unreached
+	// names the leader if this node has tried to in vain.
+	passed    bool
+	unreached string
+}
+
+func (m reportMsg) apply(c *Controller) {
+	now := time.Now()
+	if c.valid() {
+		if node := c.nearer(m, now); node != "" {
+			m.reply <- reportReply{err: &api.NotLeaderError{Leader: node}}
+			return
+		}
+		ans, err := c.reign.report(m.rep, now)
+		m.reply <- reportReply{ans: ans, err: err}
+		return
+	}
+	leader := c.leads(now)
+	if m.passed || c.reign != nil {
+		m.reply <- reportReply{err: &api.NotLeaderError{}}
+		return
+	}
+	if c.passes(m, leader, now) {
+		m.reply <- reportReply{passTo: leader}
+		return
+	}
+	unreached := m.unreached == leader || !c.around.nodes[leader].reached(now)
+	if ans, ok := c.keep.answer(m.rep, leader, c.keepFor(), unreached, now); ok {
+		m.reply <- reportReply{ans: ans}
+		return
+	}
+	m.reply <- reportReply{err: &api.NotLeaderError{Leader: leader}}
+}
+
+// Machines of another zone than the leader's report through a node of their
+// own zone, which passes their reports on. When the zones can no longer reach
+// each other, that node answers them without a break; looking for it then, one
+// silent node after the other, would take longer than their lease.
+
+// nearer names the node that a machine should rather report to, if any.
+func (c *Controller) nearer(m reportMsg, now time.Time) string {
+	mc := c.reign.machines[m.rep.Machine]
+	if m.passed || m.rep.Zone == c.Settings.Zone || mc == nil || !mc.heard || mc.zone != m.rep.Zone ||
+		m.rep.Term != c.reign.term.Number || now.Sub(mc.sentOn) < sendOnEvery {
+		return ""
+	}
+	for _, p := range c.Settings.Peers {
+		if n := c.around.nodes[p.Node]; p.Zone == m.rep.Zone && n.reached(now) && n.Leader == c.Settings.Node && n.StoreOK > 0 {
+			mc.sentOn = now
+			return p.Node
+		}
+	}
+	return ""
+}
+
+// sendOnEvery keeps a machine from being sent to and fro.
+const sendOnEvery = 10 * time.Second
+
+// passes tells whether a report is passed on to the leader.
+func (c *Controller) passes(m reportMsg, leader string, now time.Time) bool {
+	n := c.around.nodes[leader]
+	return n != nil && m.unreached == "" && m.rep.Zone == c.Settings.Zone && n.zone != c.Settings.Zone && n.reached(now)
+}
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -84,6 +84,8 @@
 	store *storetest.Fake
 	cloud *fakeCloud
 	teams []config.Team
+	// zones are the nodes' zones.
+	zones map[string]string
 	// dead are the machines that do not answer when asked directly.
 	dead sync.Map
 }
@@ -139,6 +141,20 @@
 	return g.Fake.Txn(ctx, txn)
 }
 
+func (g *gate) Range(ctx context.Context, prefix, from string, most int) (store.Page, error) {
+	if err := g.err(); err != nil {
+		return store.Page{}, err
+	}
+	return g.Fake.Range(ctx, prefix, from, most)
+}
+
+func (g *gate) Grant(ctx context.Context, life time.Duration) (uint64, error) {
+	if err := g.err(); err != nil {
+		return 0, err
+	}
+	return g.Fake.Grant(ctx, life)
+}
+
 func (g *gate) Extend(ctx context.Context, lease uint64) error {
 	if err := g.err(); err != nil {
 		return err
@@ -189,16 +205,23 @@
 		w.t.Fatal(err)
 	}
 	pol.MinCPUs = 100 // no machine is spare
-	s := &config.Settings{Node: name, Site: config.SiteInfo{Teams: w.teams,
+	s := &config.Settings{Node: name, Zone: w.zones[name], Site: config.SiteInfo{Teams: w.teams,
 		Objectives: []config.Objective{{Kind: "finished", Class: "c", WithinS: 90}},
 		Workers:    config.Workers{ReportS: 1, LeaseS: 10, CancelS: 30},
 		State:      config.StateLimits{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
 		Cloud:      config.CloudLimits{RPS: 5, ListLagS: 4}}}
+	if peers != nil {
+		for _, other := range []string{"n0", "n1", "n2"} {
+			if other != name && (other != "n2" || w.zones["n2"] != "") {
+				s.Peers = append(s.Peers, config.Peer{Node: other, Zone: w.zones[other]})
+			}
+		}
+	}
 	log := slog.New(slog.DiscardHandler)
 	c := New(Config{Settings: s, Policy: pol, Store: st, Cloud: w.cloud, Peers: peers, Prober: w, Log: log})
 	ctx, cancel := context.WithCancel(context.Background())
 	cand := &election.Candidate{Node: name, Incarnation: fmt.Sprint(time.Now().UnixNano()), Store: st,
-		Lease: pol.LeaderLease, Renew: 3 * time.Second, Observer: c, Log: log, Depose: c.Depose()}
+		Lease: pol.LeaderLease, Renew: 3 * time.Second, Observer: c, Log: log, Depose: c.Depose(), Resigned: c.Resigns()}
 	go c.Run(ctx)
 	go cand.Run(ctx)
 	w.t.Cleanup(cancel)
--- a/internal/controller/keep.go
+++ b/internal/controller/keep.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -37,8 +36,6 @@
 }
 
 const (
-	pingEvery   = time.Second
-	pingTimeout = 800 * time.Millisecond
 	// keptFor is how long the leader relies on what another node published.
 	keptFor = 8 * time.Second
 	// keepMargin is kept back of the time that a cancellation has: the leader
@@ -53,8 +50,8 @@
 }
 
 // answer answers a report in the leader's stead, if this node may.
-func (k *keeper) answer(rep *api.Report, leader string, keepFor time.Duration, now time.Time) (api.ReportAnswer, bool) {
-	if !k.away || leader == "" || leader != k.leader || now.Sub(k.verified) > keepFor || rep.Term != k.term || k.term == 0 {
+func (k *keeper) answer(rep *api.Report, leader string, keepFor time.Duration, unreached bool, now time.Time) (api.ReportAnswer, bool) {
+	if !(k.away || unreached) || leader == "" || leader != k.leader || now.Sub(k.verified) > keepFor || rep.Term != k.term || k.term == 0 {
 		return api.ReportAnswer{}, false
 	}
 	ans := api.ReportAnswer{Term: k.term, Orders: []api.Order{}}
@@ -65,56 +62,40 @@
 			ans.Orders = append(ans.Orders, api.Order{Verb: api.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: &grace})
 		}
 	}
+	if k.hosts == nil {
+		k.hosts = map[string]time.Time{}
+	}
 	k.hosts[rep.Machine] = now
 	return ans, true
 }
 
-// watchLeader pings the leader, and while it cannot be reached keeps what the
-// keeper must know up to date.
-func (c *Controller) watchLeader(ctx context.Context) {
-	failed := 0
-	for ctx.Err() == nil {
-		pause(ctx, pingEvery)
-		ask := askLeaderMsg{reply: make(chan keepAsk, 1)}
-		if c.send(ctx, ask) != nil {
-			return
-		}
-		var a keepAsk
-		select {
-		case a = <-ask.reply:
-		case <-ctx.Done():
-			return
-		}
-		if a.leader == "" || a.leader == c.Settings.Node {
-			failed = 0
-			continue
-		}
-		sent := time.Now()
-		pctx, cancel := context.WithTimeout(ctx, pingTimeout)
-		term, err := c.Peers.Ping(pctx, a.leader)
-		cancel()
-		if err == nil || errors.Is(err, api.ErrUnavailable) {
-			failed = 0
-			if c.send(ctx, verifiedMsg{leader: a.leader, term: term, at: sent}) != nil {
-				return
-			}
-			continue
-		}
-		if failed++; failed < 2 {
-			continue
-		}
-		if c.send(ctx, awayMsg{a.leader}) != nil {
-			return
-		}
-		m, err := c.verifyTerm(ctx, a)
-		if err != nil {
-			c.Log.Debug("leader not reached, term not verified", "err", err)
-			continue
-		}
-		if c.send(ctx, m) != nil {
-			return
-		}
+// verify takes in the leader's answer to a ping.
+func (k *keeper) verify(leader string, term uint64, at time.Time) {
+	*k = keeper{leader: leader, term: term, verified: at}
+}
+
+// keepUp is called while a node cannot be reached: if it leads, its machines
+// are kept alive from here.
+func (c *Controller) keepUp(ctx context.Context, node string) {
+	ask := askLeaderMsg{reply: make(chan keepAsk, 1)}
+	if c.send(ctx, ask) != nil {
+		return
 	}
+	var a keepAsk
+	select {
+	case a = <-ask.reply:
+	case <-ctx.Done():
+		return
+	}
+	if a.leader != node || c.send(ctx, awayMsg{node}) != nil {
+		return
+	}
+	m, err := c.verifyTerm(ctx, a)
+	if err != nil {
+		c.Log.Debug("leader not reached, term not verified", "err", err)
+		return
+	}
+	c.send(ctx, m) // only fails when the node ends
 }
 
 // verifyTerm reads from the store whether a leader still leads and which jobs
@@ -192,12 +173,11 @@
 	k := &c.keep
 	if k.leader == m.leader && !k.away {
 		c.Log.Info("leader not reached, keeping its machines alive", "leader", m.leader, "term", k.term)
-		k.away, k.hosts = true, map[string]time.Time{}
+		k.away = true
 	}
 }
 
-// verifiedMsg brings the leader's answer to a ping, or with the active jobs
-// what the store showed.
+// verifiedMsg brings what the store showed of the term and the active jobs.
 type verifiedMsg struct {
 	leader string
 	term   uint64
@@ -207,10 +187,6 @@
 
 func (m verifiedMsg) apply(c *Controller) {
 	k := &c.keep
-	if m.active == nil {
-		*k = keeper{leader: m.leader, term: m.term, verified: m.at}
-		return
-	}
 	if k.leader == m.leader && k.term == m.term {
 		k.active, k.verified = m.active, m.at
 	} else {
@@ -218,30 +194,6 @@
 	}
 }
 
-// Term is the term in which this node leads at this moment, or 0.
-func (c *Controller) Term(ctx context.Context) (uint64, error) {
-	m := termMsg{make(chan uint64, 1)}
-	if err := c.send(ctx, m); err != nil {
-		return 0, err
-	}
-	select {
-	case term := <-m.reply:
-		return term, nil
-	case <-ctx.Done():
-		return 0, ctx.Err()
-	}
-}
-
-type termMsg struct{ reply chan uint64 }
-
-func (m termMsg) apply(c *Controller) {
-	if c.valid() {
-		m.reply <- c.reign.term.Number
-		return
-	}
-	m.reply <- 0
-}
-
 // readKept reads which machines other nodes keep alive, every few seconds.
 func (r *reign) readKept(now time.Time) {
 	if now.Sub(r.keptRead) < 2*time.Second {
--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -9,33 +9,57 @@
 	"example.org/ivytrestle/internal/store"
 )
 
-// Job implements api.Backend.
+const (
+	askTimeout  = 500 * time.Millisecond
+	readTimeout = 600 * time.Millisecond
+)
+
+// Job implements api.Backend. Whichever node a user's connection stays on, it
+// asks the leader, reads the store itself, or has another node do so.
 func (c *Controller) Job(ctx context.Context, id string) (api.JobState, error) {
 	r, err := c.poll(ctx, id)
 	if err != nil {
 		return api.JobState{}, err
 	}
-	switch {
-	case r.err != nil || r.answered:
+	if r.err != nil || r.answered {
 		return r.st, r.err
-	case r.leader != "" && c.Peers != nil:
-		pctx, cancel := context.WithTimeout(ctx, 700*time.Millisecond)
-		st, err := c.Peers.Job(pctx, r.leader, id)
+	}
+	if r.leader != "" && c.Peers != nil {
+		if st, err := c.ask(ctx, r.leader, id); err == nil || errors.Is(err, api.ErrUnknownJob) {
+			return st, err
+		}
+	}
+	err = api.ErrUnavailable
+	if !r.storeLost {
+		lctx, cancel := context.WithTimeout(ctx, readTimeout)
+		st, lerr := c.lookup(lctx, id)
 		cancel()
-		if err == nil {
-			if st.Final() {
-				return st, c.send(ctx, finalMsg{st})
-			}
-			return st, nil
+		if lerr == nil || errors.Is(lerr, api.ErrUnknownJob) {
+			return st, lerr
 		}
-		if errors.Is(err, api.ErrUnknownJob) {
+		err = lerr
+	}
+	for _, node := range r.others {
+		if st, err := c.ask(ctx, node, id); err == nil || errors.Is(err, api.ErrUnknownJob) {
 			return st, err
 		}
 	}
-	return c.lookup(ctx, id)
+	return api.JobState{}, err
 }
 
-// PeerJob answers another node's question. Only the leader does.
+// ask asks another node about a job.
+func (c *Controller) ask(ctx context.Context, node, id string) (api.JobState, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	st, err := c.Peers.Job(ctx, node, id)
+	if err == nil && st.Final() {
+		return st, c.send(ctx, finalMsg{st})
+	}
+	return st, err
+}
+
+// PeerJob answers another node's question: the leader from its memory, others
+// from the store.
 func (c *Controller) PeerJob(ctx context.Context, id string) (api.JobState, error) {
 	r, err := c.poll(ctx, id)
 	switch {
@@ -43,7 +67,7 @@
 		return api.JobState{}, err
 	case r.err != nil || r.answered:
 		return r.st, r.err
-	case r.leader != "":
+	case r.storeLost:
 		return api.JobState{}, api.ErrUnavailable
 	}
 	return c.lookup(ctx, id)
@@ -70,7 +94,11 @@
 	st       api.JobState
 	answered bool
 	leader   string
-	err      error
+	// others are further nodes to ask, whom the store answers.
+	others []string
+	// storeLost is set while the store does not answer this node.
+	storeLost bool
+	err       error
 }
 
 type pollMsg struct {
@@ -84,19 +112,21 @@
 		m.reply <- pollReply{st: st, answered: true}
 		return
 	}
-	if c.reign == nil {
-		leader := c.leader
-		if leader == c.Settings.Node {
-			leader = ""
-		}
-		m.reply <- pollReply{leader: leader}
+	if c.reign != nil && c.valid() && c.reign.loaded && c.reign.jobs[m.id] != nil {
+		c.reign.confirm.add(m)
 		return
 	}
-	if !c.valid() || !c.reign.loaded || c.reign.jobs[m.id] == nil {
-		m.reply <- pollReply{}
-		return
+	now := time.Now()
+	reply := pollReply{storeLost: !c.around.storeOK}
+	if c.reign == nil {
+		reply.leader = c.leads(now)
+	}
+	for name, n := range c.around.nodes {
+		if name != reply.leader && n.reached(now) && n.StoreOK > 0 {
+			reply.others = append(reply.others, name)
+		}
 	}
-	c.reign.confirm.add(m)
+	m.reply <- reply
 }
 
 // confirmer makes sure that the leader's memory is as new as the store before
--- a/internal/controller/rules_test.go
+++ b/internal/controller/rules_test.go
@@ -661,22 +661,51 @@
 
 // links connects nodes as peers; it can be cut.
 type links struct {
-	nodes map[string]*node
+	nodes sync.Map
 	cut   atomic.Bool
 }
 
+func (l *links) add(name string, n *node) *node { l.nodes.Store(name, n); return n }
+
+// to is the node at the other end, if it can be reached.
+func (l *links) to(name string) (*node, error) {
+	n, ok := l.nodes.Load(name)
+	if l.cut.Load() || !ok {
+		return nil, errors.New("cut")
+	}
+	return n.(*node), nil
+}
+
 func (l *links) Job(ctx context.Context, name, id string) (api.JobState, error) {
-	if l.cut.Load() {
-		return api.JobState{}, errors.New("cut")
+	n, err := l.to(name)
+	if err != nil {
+		return api.JobState{}, err
+	}
+	return n.PeerJob(ctx, id)
+}
+
+func (l *links) Ping(ctx context.Context, name string) (Standing, error) {
+	n, err := l.to(name)
+	if err != nil {
+		return Standing{}, err
+	}
+	return n.Standing(ctx)
+}
+
+func (l *links) Report(ctx context.Context, name string, rep *api.Report) (api.ReportAnswer, error) {
+	n, err := l.to(name)
+	if err != nil {
+		return api.ReportAnswer{}, err
 	}
-	return l.nodes[name].PeerJob(ctx, id)
+	return n.PassedReport(ctx, rep)
 }
 
-func (l *links) Ping(ctx context.Context, name string) (uint64, error) {
-	if l.cut.Load() {
-		return 0, errors.New("cut")
+func (l *links) Resign(ctx context.Context, name, self string, term uint64) error {
+	n, err := l.to(name)
+	if err != nil {
+		return err
 	}
-	return l.nodes[name].Term(ctx)
+	return n.LeaderResigned(ctx, self, term)
 }
 
 // While the leader is behind a cut a node on the workers' side keeps their
@@ -685,12 +714,10 @@
 func TestFollowerKeepsMachinesAlive(t *testing.T) {
 	for _, storeToo := range []bool{false, true} {
 		play(t, func(w *world) {
-			l := &links{nodes: map[string]*node{}}
+			l := &links{}
 			g := &gate{Fake: w.store}
-			a := w.startWith("n0", w.store, l)
-			l.nodes["n0"] = a
-			b := w.startWith("n1", g, l)
-			l.nodes["n1"] = b
+			a := l.add("n0", w.startWith("n0", w.store, l))
+			b := l.add("n1", w.startWith("n1", g, l))
 			k := w.worker("i-1", "a", false)
 			w.submit(a, spec("job-1", 2))
 			k.serve(a, 4)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -81,7 +80,7 @@
 	cand := &election.Candidate{
 		Node: s.Node, Incarnation: rand.Text(), Store: st,
 		Lease: p.LeaderLease, Renew: min(p.LeaderLease/6, 3*time.Second),
-		Observer: c, Log: log, Depose: c.Depose(),
+		Observer: c, Log: log, Depose: c.Depose(), Resigned: c.Resigns(),
 	}
 	go c.Run(ctx)
 	go cand.Run(ctx)
@@ -108,59 +107,3 @@
 		return err
 	}
 }
-
-// peerHandler answers other nodes' questions from the controller.
-type peerHandler struct{ c *controller.Controller }
-
-// Job implements peer.Handler.
-func (h peerHandler) Job(ctx context.Context, id string) (*peer.JobStatus, error) {
-	ctx, cancel := context.WithTimeout(ctx, 1200*time.Millisecond)
-	defer cancel()
-	st, err := h.c.PeerJob(ctx, id)
-	if errors.Is(err, api.ErrUnknownJob) {
-		return &peer.JobStatus{}, nil
-	}
-	if err != nil {
-		return nil, err
-	}
-	return &peer.JobStatus{Known: true, Phase: st.Phase, Done: uint32(st.Done), Running: uint32(st.Running)}, nil
-}
-
-// Term implements peer.Handler.
-func (h peerHandler) Term(ctx context.Context) (uint64, error) { return h.c.Term(ctx) }
-
-// peers asks the other nodes.
-type peers map[string]*peer.Client
-
-func newPeers(list []config.Peer) peers {
-	p := peers{}
-	for _, n := range list {
-		p[n.Node] = peer.NewClient(n.Addr)
-	}
-	return p
-}
-
-// Job implements controller.PeerAsker.
-func (p peers) Job(ctx context.Context, node, id string) (api.JobState, error) {
-	cl := p[node]
-	if cl == nil {
-		return api.JobState{}, api.ErrUnavailable
-	}
-	st, err := cl.Job(ctx, id)
-	if err != nil {
-		return api.JobState{}, err
-	}
-	if !st.Known {
-		return api.JobState{}, api.ErrUnknownJob
-	}
-	return api.JobState{ID: id, Phase: st.Phase, Done: int(st.Done), Running: int(st.Running)}, nil
-}
-
-// Ping implements controller.PeerAsker.
-func (p peers) Ping(ctx context.Context, node string) (uint64, error) {
-	cl := p[node]
-	if cl == nil {
-		return 0, api.ErrUnavailable
-	}
-	return cl.Ping(ctx)
-}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -65,6 +65,9 @@
 	// Depose ends the present leadership when something else has shown that
 	// the term is over.
 	Depose <-chan uint64
+	// Resigned names nodes that have stopped to lead, so that their lease
+	// need not be waited for.
+	Resigned <-chan string
 }
 
 const callTimeout = 2 * time.Second
@@ -109,23 +112,48 @@
 		return c.takeOver(ctx, cur.Mark)
 	}
 	c.Observer.Leader(h.Node)
-	return c.follow(ctx, cur.Mark)
+	resigned, err := c.follow(ctx, h.Node, cur.Mark)
+	if resigned {
+		// It acts for nobody any more. Should it have begun a new term since,
+		// the version of the key has changed, and this fails.
+		return c.takeOver(ctx, cur.Mark)
+	}
+	return err
 }
 
-// follow waits until the leader key changes.
-func (c *Candidate) follow(ctx context.Context, from uint64) error {
+// follow waits until the leader key changes, or its holder has resigned.
+func (c *Candidate) follow(ctx context.Context, holder string, from uint64) (resigned bool, err error) {
 	const block = 20 * time.Second
+	type seen struct {
+		ch  store.Changes
+		err error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	for {
-		wctx, cancel := context.WithTimeout(ctx, block+10*time.Second)
-		ch, err := c.Store.Watch(wctx, LeaderKey, from, block)
-		cancel()
-		if err != nil {
-			return err
+		done := make(chan seen, 1)
+		go func() {
+			wctx, cancel := context.WithTimeout(ctx, block+10*time.Second)
+			defer cancel()
+			ch, err := c.Store.Watch(wctx, LeaderKey, from, block)
+			done <- seen{ch, err}
+		}()
+		var s seen
+		for s = (seen{}); ; {
+			select {
+			case s = <-done:
+			case node := <-c.Resigned:
+				if node == holder {
+					return true, nil
+				}
+				continue
+			}
+			break
 		}
-		if len(ch.Events) > 0 {
-			return nil
+		if s.err != nil || len(s.ch.Events) > 0 {
+			return false, s.err
 		}
-		from = max(from, ch.Ring)
+		from = max(from, s.ch.Ring)
 	}
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -18,7 +18,7 @@
 )
 
 // maxMessage bounds a message between controllers.
-const maxMessage = 64 << 10
+const maxMessage = 256 << 10
 
 // ErrUnable means that the peer is not entitled to answer.
 var ErrUnable = errors.New("peer: not entitled to answer")
@@ -27,8 +27,12 @@
 // unable to answer.
 type Handler interface {
 	Job(ctx context.Context, id string) (*JobStatus, error)
-	// Term is the term in which this node leads at this moment, or 0.
-	Term(ctx context.Context) (uint64, error)
+	// Ping tells how this node stands.
+	Ping(ctx context.Context) (*Pong, error)
+	// Report answers a machine's report in the leader's name.
+	Report(ctx context.Context, r *Report) (*ReportAnswer, error)
+	// Resigned takes in that the leader of a term has stopped to act.
+	Resigned(ctx context.Context, r *Resignation) error
 }
 
 // maxInFlight bounds the questions of one connection that are being answered.
@@ -68,17 +72,11 @@
 		slots <- struct{}{}
 		go func() {
 			defer func() { <-slots }()
-			resp := &Response{Seq: req.Seq, Unable: true}
-			if req.GetPing() != nil {
-				if term, err := h.Term(ctx); err == nil {
-					resp.Unable, resp.Term = false, term
-				}
-			}
-			if q := req.GetJob(); q != nil {
-				if st, err := h.Job(ctx, q.Id); err == nil {
-					resp.Unable, resp.Job = false, st
-				}
+			resp := &Response{}
+			if err := respond(ctx, h, &req, resp); err != nil {
+				resp = &Response{Unable: true}
 			}
+			resp.Seq = req.Seq
 			mu.Lock()
 			defer mu.Unlock()
 			conn.SetWriteDeadline(time.Now().Add(2 * time.Second))
@@ -89,6 +87,22 @@
 	}
 }
 
+func respond(ctx context.Context, h Handler, req *Request, resp *Response) (err error) {
+	switch k := req.Kind.(type) {
+	case *Request_Ping:
+		resp.Pong, err = h.Ping(ctx)
+	case *Request_Job:
+		resp.Job, err = h.Job(ctx, k.Job.GetId())
+	case *Request_Report:
+		resp.Report, err = h.Report(ctx, k.Report)
+	case *Request_Resignation:
+		err = h.Resigned(ctx, k.Resignation)
+	default:
+		err = ErrUnable // a question of a later version
+	}
+	return err
+}
+
 func read(r io.Reader, m proto.Message) error {
 	var head [4]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
@@ -125,6 +139,8 @@
 	waiting map[uint64]chan *Response
 	dialing bool
 	downTil time.Time
+	// heard is when the peer last answered anything.
+	heard time.Time
 }
 
 // NewClient makes a client of the peer at an address.
@@ -144,13 +160,34 @@
 	return resp.Job, nil
 }
 
-// Ping returns the term in which the peer leads, or 0, if it can be reached.
-func (c *Client) Ping(ctx context.Context) (uint64, error) {
+// Ping asks how the peer stands, if it can be reached.
+func (c *Client) Ping(ctx context.Context) (*Pong, error) {
 	resp, err := c.ask(ctx, &Request{Kind: &Request_Ping{Ping: &Ping{}}})
 	if err != nil {
-		return 0, err
+		return nil, err
+	}
+	if resp.Pong == nil {
+		return nil, ErrUnable
+	}
+	return resp.Pong, nil
+}
+
+// Report passes a machine's report on.
+func (c *Client) Report(ctx context.Context, r *Report) (*ReportAnswer, error) {
+	resp, err := c.ask(ctx, &Request{Kind: &Request_Report{Report: r}})
+	if err != nil {
+		return nil, err
+	}
+	if resp.Report == nil {
+		return nil, ErrUnable
 	}
-	return resp.Term, nil
+	return resp.Report, nil
+}
+
+// Resign tells the peer that this node has stopped to lead.
+func (c *Client) Resign(ctx context.Context, r *Resignation) error {
+	_, err := c.ask(ctx, &Request{Kind: &Request_Resignation{Resignation: r}})
+	return err
 }
 
 func (c *Client) ask(ctx context.Context, req *Request) (*Response, error) {
@@ -161,8 +198,9 @@
 	}
 	defer c.unregister(seq)
 	req.Seq = seq
+	sent := time.Now()
 	c.mu.Lock()
-	conn.SetWriteDeadline(time.Now().Add(time.Second))
+	conn.SetWriteDeadline(sent.Add(time.Second))
 	err = write(conn, req)
 	c.mu.Unlock()
 	if err != nil {
@@ -180,11 +218,17 @@
 		return resp, nil
 	case <-ctx.Done():
 		// A peer that has stopped answering is passed over for a while, so
-		// that users do not wait for it one after the other.
+		// that users do not wait for it one after the other. One that has
+		// answered others meanwhile is only slow with this.
 		c.mu.Lock()
-		c.downTil = time.Now().Add(time.Second)
+		dead := c.heard.Before(sent)
+		if dead {
+			c.downTil = time.Now().Add(time.Second)
+		}
 		c.mu.Unlock()
-		c.drop(conn)
+		if dead {
+			c.drop(conn)
+		}
 		return nil, fmt.Errorf("peer: %w", ctx.Err())
 	}
 }
@@ -228,6 +272,7 @@
 			return
 		}
 		c.mu.Lock()
+		c.heard = time.Now()
 		ch := c.waiting[resp.Seq]
 		delete(c.waiting, resp.Seq)
 		c.mu.Unlock()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -21,7 +21,21 @@
 	return nil, errors.New("not the leader")
 }
 
-func (a answers) Term(context.Context) (uint64, error) { return a.term, nil }
+func (a answers) Ping(context.Context) (*Pong, error) { return &Pong{Term: a.term, Leader: "n1"}, nil }
+
+func (a answers) Report(_ context.Context, r *Report) (*ReportAnswer, error) {
+	if r.Term > a.term {
+		return nil, errors.New("not the leader")
+	}
+	return &ReportAnswer{Term: a.term, Orders: []*Order{{Verb: "reap", Task: r.Tasks[0].Task, Attempt: 7}}}, nil
+}
+
+func (a answers) Resigned(_ context.Context, r *Resignation) error {
+	if r.Term != a.term {
+		return errors.New("another term")
+	}
+	return nil
+}
 
 // connected is a client whose connection ends in a served pipe.
 func connected(t *testing.T, h Handler) (*Client, net.Conn) {
@@ -48,8 +62,22 @@
 	if _, err := c.Job(ctx, "job-3"); !errors.Is(err, ErrUnable) {
 		t.Errorf("no leader: %v", err)
 	}
-	if term, err := c.Ping(ctx); err != nil || term != 9 {
-		t.Errorf("ping: %d, %v", term, err)
+	if p, err := c.Ping(ctx); err != nil || p.Term != 9 || p.Leader != "n1" {
+		t.Errorf("ping: %v, %v", p, err)
+	}
+	rep := &Report{Machine: "i-1", Term: 9, Tasks: []*TaskReport{{Task: "job-1/2"}}}
+	if a, err := c.Report(ctx, rep); err != nil || a.Term != 9 || a.Orders[0].Task != "job-1/2" {
+		t.Errorf("report: %v, %v", a, err)
+	}
+	rep.Term = 10
+	if _, err := c.Report(ctx, rep); !errors.Is(err, ErrUnable) {
+		t.Errorf("report with a later term: %v", err)
+	}
+	if err := c.Resign(ctx, &Resignation{Node: "n1", Term: 9}); err != nil {
+		t.Errorf("resign: %v", err)
+	}
+	if err := c.Resign(ctx, &Resignation{Node: "n1", Term: 8}); !errors.Is(err, ErrUnable) {
+		t.Errorf("resign from another term: %v", err)
 	}
 }
 
