Runs held up by a cut are not measured at all; at most a tenth of the fleet is slow

The gap before the last report alone did not tell. Machines not heard after a takeover are asked every second.

--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -145,8 +145,10 @@
 	sentSeq   uint64
 	sentAt    time.Time
 	runningAt time.Time
-	stop      *stopOrder
-	exited    bool
+	// blurred is set if the machine was out of hearing during the run.
+	blurred bool
+	stop    *stopOrder
+	exited  bool
 	// seen is the last of the machine's reports that showed the attempt.
 	seen int
 	// noted is set once what the exit means has been taken in.
@@ -190,10 +192,8 @@
 	// carries out no earlier leader's orders.
 	heard    bool
 	lastSeen time.Time
-	// lastReport is when the last report came, and lastGap how long after the
-	// one before: how late what it told may be known here.
+	// lastReport is when the last report came.
 	lastReport time.Time
-	lastGap    time.Duration
 	// nextProbe and probeFails belong to the watch over silent machines.
 	nextProbe  time.Time
 	probeFails int
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -49,7 +49,10 @@
 		m.asked = nil
 	}
 	m.reports++
-	m.lastGap, m.lastReport = now.Sub(m.lastReport), now
+	if now.Sub(m.lastReport) > r.hearable() {
+		m.blur()
+	}
+	m.lastReport = now
 	m.session, m.seq, m.lastSeen, m.addr = rep.Session, rep.Seq, now, rep.Addr
 	if m.cpus == 0 {
 		if mt, ok := r.c.types.load()[m.typ]; ok {
--- a/internal/controller/silence.go
+++ b/internal/controller/silence.go
@@ -15,6 +15,9 @@
 const (
 	probeTimeout = 1500 * time.Millisecond
 	probeEvery   = 2 * time.Second
+	// A takeover waits for the machines not heard, so they are asked faster.
+	unheardTimeout = time.Second
+	unheardEvery   = time.Second
 	// deadAfter is how many probes in a row must fail.
 	deadAfter = 2
 	// deafAfter is how many times in a row a machine may carry out no orders
@@ -90,7 +93,11 @@
 	if now.Before(m.nextProbe) || r.probing >= maxProbes {
 		return
 	}
-	m.nextProbe = now.Add(probeEvery)
+	every, timeout := probeEvery, probeTimeout
+	if !m.heard {
+		every, timeout = unheardEvery, unheardTimeout
+	}
+	m.nextProbe = now.Add(every)
 	p := r.c.Prober
 	if p == nil || m.addr == "" {
 		m.probeFails++
@@ -99,7 +106,7 @@
 	r.probing++
 	addr := m.addr // the machine is the owner's
 	go func() {
-		ctx, cancel := context.WithTimeout(r.ctx, probeTimeout)
+		ctx, cancel := context.WithTimeout(r.ctx, timeout)
 		defer cancel()
 		r.post(probedMsg{r, m, now, p.Probe(ctx, addr)})
 	}()
--- a/internal/controller/slow.go
+++ b/internal/controller/slow.go
@@ -41,9 +41,7 @@
 // runs take much longer than the same jobs' elsewhere.
 func (r *reign) ran(a *attempt, took time.Duration, now time.Time) {
 	j, m := a.job, a.machine
-	if m.lastGap > r.hearable() {
-		// When the run ended is not known: a cut held the report up. Taken for
-		// long, such runs had half of a zone's machines quarantined after it.
+	if a.blurred {
 		return
 	}
 	j.longest = max(j.longest, took)
@@ -65,7 +63,7 @@
 	ratio := float64(took) * float64(others.n) / float64(max(others.sum, time.Second))
 	m.slowRuns++
 	m.slowness += (ratio - m.slowness) / float64(min(m.slowRuns, slowRuns))
-	if m.slowRuns >= slowRuns && m.slowness > slowRatio && !m.leaving {
+	if m.slowRuns >= slowRuns && m.slowness > slowRatio && !m.leaving && r.fewSlow() {
 		r.c.Log.Info("machine quarantined", "machine", m.name, "slowness", m.slowness)
 		r.leave(m, "slow")
 		for _, o := range m.attempts {
@@ -76,6 +74,27 @@
 	}
 }
 
+// fewSlow tells whether slow machines are the exception: where many seem slow
+// at once, something else is the matter, and quarantine would take the fleet.
+func (r *reign) fewSlow() bool {
+	n := 0
+	for _, m := range r.machines {
+		if m.why == "slow" {
+			n++
+		}
+	}
+	return n < max(1, len(r.machines)/10)
+}
+
+// blur marks the runs on a machine whose reports were held up: when they ended
+// is not known. Taken for long, such runs had half of a zone's machines
+// quarantined after a cut.
+func (m *machine) blur() {
+	for _, a := range m.attempts {
+		a.blurred = true
+	}
+}
+
 // hearable is the longest time between two reports of a machine in order.
 func (r *reign) hearable() time.Duration { return 2*r.c.Settings.Site.Workers.Report() + time.Second }
 
--- a/internal/controller/trouble_test.go
+++ b/internal/controller/trouble_test.go
@@ -207,6 +207,14 @@
 		for range 5 {
 			round(true)
 		}
+		held := far.rep // sent as the cut began, delivered as it ends
+		held.Tasks = nil
+		for _, task := range far.rep.Tasks {
+			task.Phase, task.Cause = api.TaskRunning, ""
+			held.Tasks = append(held.Tasks, task)
+		}
+		far.rep.Seq++
+		far.deliver(n, &held)
 		n.look(func(c *Controller) { w.same("restarted", len(c.reign.jobs["job-1"].restarted), 0) })
 		round(false)
 		round(false)
@@ -254,3 +262,31 @@
 		}
 	})
 }
+
+// Where many machines seem slow at once, it is not the machines: only a few
+// are quarantined.
+func TestFewMachinesAreTakenForSlow(t *testing.T) {
+	play(t, func(w *world) {
+		n := w.start("n0")
+		var ks []*worker
+		for i := range 12 {
+			ks = append(ks, w.worker(fmt.Sprint("i-", i), "a", false))
+		}
+		w.teams[0].CPUs, w.teams[0].CPUsMax = 100, 100
+		n.crash()
+		n = w.start("n0")
+		s := spec("job-1", 400)
+		s.EstimateS = 60
+		w.submit(n, s)
+		for second := range 60 {
+			for i, k := range ks {
+				k.report(n)
+				if i < 3 && second%4 == 3 || second%20 == 19 {
+					k.exit(api.CauseDone)
+				}
+			}
+			time.Sleep(time.Second)
+		}
+		w.same("slow machines returned", len(w.cloud.returned), 1)
+	})
+}
