Urgent work borrows before other teams' ordinary work

Cause: an urgent job of a team above its guarantee waited for the team's turn. Kept: turns by shares decide among work of the same urgency.

--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -365,7 +365,7 @@
 // pick chooses the job whose flight this machine serves next. What the teams'
 // guarantees cover comes first: no team waits for another there, so the job
 // that must begin soonest is taken. What they borrow is served by the teams in
-// turn by shares.
+// turn by shares, urgent work before the rest.
 func (r *reign) pick(m *machine, now time.Time) *job {
 	if m.freeCPUs() < slack && m.gpus <= m.usedGPUs {
 		return nil
@@ -386,10 +386,14 @@
 		}
 		queue.Turns(r.turns)
 		for _, t := range r.turns {
-			if j := r.first(t, m, false, suited, now); j != nil {
-				return j
+			j := r.first(t, m, false, suited, now)
+			if j != nil && (best == nil || queue.Urgency(j) < queue.Urgency(best)) {
+				best = j
 			}
 		}
+		if best != nil {
+			return best
+		}
 	}
 	return nil
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -61,10 +61,14 @@
 }
 
 func compare[T Item](a, b T) int {
-	return cmp.Or(cmp.Compare(a.Prospect(), b.Prospect()), cmp.Compare(min(a.Rank(), 2), min(b.Rank(), 2)),
+	return cmp.Or(cmp.Compare(a.Prospect(), b.Prospect()), cmp.Compare(Urgency(a), Urgency(b)),
 		a.Latest().Compare(b.Latest()), cmp.Compare(a.Rank(), b.Rank()), cmp.Compare(a.ID(), b.ID()))
 }
 
+// Urgency orders work that goes before the rest whatever its aims: the ranks
+// above the ordinary ones.
+func Urgency[T Item](a T) int { return min(a.Rank(), 2) }
+
 // Before tells whether a is served before b where no shares decide.
 func Before[T Item](a, b T) bool { return compare(a, b) < 0 }
 
