--- a/internal/controller/images.go
+++ b/internal/controller/images.go
@@ -81,6 +81,11 @@
 	return freed < float64(j.flight.Untaken())*j.spec.CPUs || now.Sub(j.passed) > passFetches*fetch
 }
 
+// hurries tells whether a job's tasks should start sooner than a fetch takes:
+// then not even a machine with nothing better to do should fetch its image, as
+// long as those that have it may still serve it in time.
+func (j *job) hurries(now time.Time) bool { return now.Before(j.startBy) }
+
 // passFetches is for how many times the fetch a job may be passed over by
 // machines without its image.
 const passFetches = 2
--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -23,6 +23,8 @@
 	aims     []time.Time
 	latest   time.Time
 	hopeless bool
+	// startBy is when its tasks should have started, if the aims say so.
+	startBy time.Time
 	// overlooked is set while none of its tasks has begun for too long.
 	overlooked bool
 	load       queue.Load
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -259,6 +259,8 @@
 	for _, o := range r.c.Settings.Site.Objectives {
 		switch {
 		case o.Class != j.spec.Class:
+		case o.Kind == "wait":
+			j.startBy = j.accepted.Add(config.Seconds(o.WithinS))
 		case o.Kind == "deadline" && j.spec.DeadlineS > 0:
 			seconds = append(seconds, j.spec.DeadlineS*max(o.Times, 1))
 		case o.Kind == "finished":
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -435,7 +435,7 @@
 func (r *reign) first(t *queue.Team[*job], m *machine, guaranteed, suited bool, now time.Time) *job {
 	for _, j := range t.Items() {
 		if j.flight.Untaken() > 0 && t.Guaranteed(j.spec.CPUs, j.spec.GPUs) == guaranteed &&
-			r.eligible(j, m, now) && (!suited || r.suits(j, m, now)) && !r.betterElsewhere(j, m, now) {
+			r.eligible(j, m, now) && (!(suited || j.hurries(now)) || r.suits(j, m, now)) && !r.betterElsewhere(j, m, now) {
 			return j
 		}
 	}
