Starts go straight to machines where reports are seldom

Where machines report every 5 s, a job waited for the reports of machines with free room; work within a guarantee is to start within those 5 s. Starts are now also sent to /orders, once each. Such an order may be carried out minutes late: an unanswered one keeps its task on that machine, whatever reports show, until the session ends or the machine is returned; the machine gets no more work, and is returned at once if the job is over. A new leader is protected by its token. What waits is left to better machines for at most a fifth of the guarantee's time.

--- a/internal/api/wire.go
+++ b/internal/api/wire.go
@@ -260,6 +260,21 @@
 	GraceS  *float64 `json:"GraceS,omitempty"`
 }
 
+// Outcomes of direct orders that were not answered with success.
+var (
+	// ErrNotDone means that they were not and will not be carried out.
+	ErrNotDone = errors.New("orders not carried out")
+	// ErrUnsure means that they may have been, or may yet be.
+	ErrUnsure = errors.New("orders may have been carried out")
+)
+
+// DirectOrders are orders sent straight to a machine, for one of its sessions.
+type DirectOrders struct {
+	Term    uint64  `json:"Warrant"`
+	Session uint64  `json:"Season"`
+	Orders  []Order `json:"Orders"`
+}
+
 // ReportAnswer answers a report.
 type ReportAnswer struct {
 	Term   uint64  `json:"Warrant"`
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -42,6 +42,7 @@
 	Cloud    cloud.Service
 	Peers    PeerAsker
 	Prober   Prober
+	Director Director
 	Log      *slog.Logger
 }
 
--- /dev/null
+++ b/internal/controller/direct.go
@@ -0,0 +1,158 @@
+package controller
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+)
+
+// Director brings orders straight to a machine. Its errors are
+// api.ErrNotDone and api.ErrUnsure.
+type Director interface {
+	Order(ctx context.Context, addr string, orders *api.DirectOrders) (seq uint64, err error)
+}
+
+// Starts go straight to machines with free room where reports come so seldom
+// that waiting for them would cost more than half of what the aims allow for a
+// start. Nothing else goes this way, and no start is sent a second time: such
+// an order may be carried out minutes late, when a cut ends or a machine
+// resumes, as long as the machine's token and session are the same. So:
+//
+//   - Until it is answered the attempt stays on the machine, whatever reports
+//     show, and so it does where no answer comes. Only a new session or the
+//     machine's return frees it then, or a report that shows the attempt: an
+//     order is carried out once.
+//   - A machine that leaves an order unanswered gets no more work, and is
+//     returned at once if the job is over.
+//   - An attempt counts as refused if the machine says so, or if no connection
+//     came about.
+//   - A new leader needs nothing of this: a machine that it has heard has its
+//     token, and refuses orders of earlier ones.
+const (
+	directAbove = 2 * time.Second
+	dispatchFor = 1500 * time.Millisecond
+	directWait  = 1500 * time.Millisecond
+	maxOrdering = 16
+)
+
+// directStart is a start that was sent straight to a machine.
+type directStart struct {
+	session uint64
+	// waiting is set until there is an outcome, unsure if there will be none.
+	waiting, unsure bool
+	// seq is the report from which on the attempt must be shown.
+	seq uint64
+}
+
+// mayCome tells whether a start may still be carried out although a report
+// does not show it.
+func (d *directStart) mayCome(rep *api.Report) bool {
+	return d != nil && rep.Session <= d.session && (d.waiting || d.unsure || rep.Seq < d.seq)
+}
+
+// empty tells whether nothing holds the machine but orders without an answer.
+func (m *machine) empty() bool {
+	for _, a := range m.attempts {
+		if a.direct == nil || !a.direct.unsure || a.seen != 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// dispatch brings waiting work to machines with free room.
+func (r *reign) dispatch(now time.Time) {
+	if r.c.Director == nil || r.c.Settings.Site.Workers.Report() <= directAbove || now.After(r.dispatchUntil) {
+		return
+	}
+	var ms []*machine
+	for _, m := range r.machines {
+		if m.open(now) && !m.ordering && m.unheeded == 0 && m.freeCPUs() > slack && m.addr != "" &&
+			now.Sub(m.lastReport) <= r.hearable() {
+			ms = append(ms, m)
+		}
+	}
+	slices.SortFunc(ms, func(a, b *machine) int {
+		return cmp.Or(cmp.Compare(r.renter.cpuPrice(a), r.renter.cpuPrice(b)), cmp.Compare(a.freeCPUs(), b.freeCPUs()), cmp.Compare(a.name, b.name))
+	})
+	for _, m := range ms {
+		if r.ordering >= maxOrdering {
+			return
+		}
+		if orders := r.place(m, nil, now); len(orders) > 0 {
+			r.order(m, orders)
+		}
+	}
+}
+
+// order sends starts that were just placed on a machine.
+func (r *reign) order(m *machine, orders []api.Order) {
+	batch := make([]*attempt, 0, len(orders))
+	for _, o := range orders {
+		a := m.attempts[attemptKey{o.Task, o.Attempt}]
+		a.direct = &directStart{session: m.session, waiting: true}
+		batch = append(batch, a)
+	}
+	m.ordering = true
+	r.ordering++
+	addr, req := m.addr, &api.DirectOrders{Term: r.term.Number, Session: m.session, Orders: orders}
+	go func() {
+		ctx, cancel := context.WithTimeout(r.ctx, directWait)
+		defer cancel()
+		seq, err := r.c.Director.Order(ctx, addr, req)
+		r.post(orderedMsg{r, m, batch, seq, err})
+	}()
+}
+
+type orderedMsg struct {
+	r     *reign
+	m     *machine
+	batch []*attempt
+	seq   uint64
+	err   error
+}
+
+func (o orderedMsg) apply(c *Controller) {
+	if c.reign != o.r {
+		return
+	}
+	o.m.ordering = false
+	o.r.ordering--
+	if o.m.gone {
+		return
+	}
+	for _, a := range o.batch {
+		a.direct.waiting = false
+		switch {
+		case o.err == nil:
+			a.direct.seq = o.seq
+		case errors.Is(o.err, api.ErrNotDone):
+			if a.seen == 0 && o.m.attempts[a.key] == a {
+				o.r.offMachine(a)
+			}
+		case o.m.session == a.direct.session:
+			a.direct.unsure = true
+			o.r.leave(o.m, "order unanswered")
+			if a.job.over {
+				o.r.settleUnsure(a)
+			}
+		}
+	}
+	if o.err != nil {
+		c.Log.Debug("direct orders", "machine", o.m.name, "orders", len(o.batch), "err", o.err)
+		o.m.pauseUntil = time.Now().Add(c.Settings.Site.Workers.Report())
+	}
+}
+
+// settleUnsure returns a machine on which a task of a job that is over might
+// still begin: nothing else keeps it from doing so in time.
+func (r *reign) settleUnsure(a *attempt) {
+	if m := a.machine; a.direct != nil && a.direct.unsure && a.seen == 0 && !m.gone && !m.returning {
+		r.leave(m, "order unanswered")
+		r.renter.giveBack(m)
+	}
+}
--- /dev/null
+++ b/internal/controller/direct_test.go
@@ -0,0 +1,235 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+)
+
+// wire carries orders straight to machines: at once, or not until released.
+type wire struct {
+	mu       sync.Mutex
+	machines map[string]*worker
+	refuse   bool
+	hold     bool
+	held     []func() uint64
+	sent     int
+}
+
+func (d *wire) Order(ctx context.Context, addr string, o *api.DirectOrders) (uint64, error) {
+	d.mu.Lock()
+	d.sent++
+	if d.refuse {
+		d.mu.Unlock()
+		return 0, api.ErrNotDone
+	}
+	k := d.machines[addr]
+	carryOut := func() uint64 {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		// As a machine does: its token must not be higher, its session the same.
+		if k.rep.Term > o.Term || k.rep.Session != o.Session {
+			return 0
+		}
+		k.rep.Term = o.Term
+		k.carryOut(o.Orders)
+		k.rep.Seq++
+		return k.rep.Seq
+	}
+	if d.hold {
+		d.held = append(d.held, carryOut)
+		d.mu.Unlock()
+		<-ctx.Done()
+		return 0, api.ErrUnsure
+	}
+	defer d.mu.Unlock()
+	if seq := carryOut(); seq != 0 {
+		return seq, nil
+	}
+	return 0, api.ErrNotDone
+}
+
+func (d *wire) set(refuse, hold bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refuse, d.hold = refuse, hold
+}
+
+// release carries out what was held back, and tells how much of it was.
+func (d *wire) release() (done int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, f := range d.held {
+		if f() != 0 {
+			done++
+		}
+	}
+	d.held = nil
+	return done
+}
+
+// seldom is a world whose machines report every 5 s, with n of them.
+func (w *world) seldom(n int) (*node, *wire, []*worker) {
+	d := &wire{machines: map[string]*worker{}}
+	w.director, w.reportS = d, 5
+	a := w.start("n0")
+	var ks []*worker
+	for i := range n {
+		k := w.worker(fmt.Sprint("i-", i), "a", false)
+		d.machines[k.rep.Machine] = k
+		ks = append(ks, k)
+		k.serve(a, 3)
+	}
+	return a, d, ks
+}
+
+// Work is begun at once where reports are seldom. A report that was on its way
+// as the order was carried out, and so does not show it, changes nothing.
+func TestStartsGoStraightToMachines(t *testing.T) {
+	play(t, func(w *world) {
+		n, d, ks := w.seldom(2)
+		stale := ks[0].rep // on its way while the order is carried out
+		stale.Seq++
+		ks[0].rep.Seq++
+		w.submit(n, spec("job-1", 6))
+		time.Sleep(time.Second)
+		w.same("begun", len(ks[0].running())+len(ks[1].running()), 6)
+		if _, err := ks[0].deliver(n, &stale); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		for _, k := range ks {
+			for _, o := range k.report(n) {
+				w.same("order", o, nil)
+			}
+		}
+		w.same("still", len(ks[0].running())+len(ks[1].running()), 6)
+		d.set(true, false)
+		w.submit(n, spec("job-2", 1))
+		time.Sleep(time.Second)
+		ks[0].serve(n, 6)
+		ks[1].serve(n, 1)
+		w.same("refused, begun by a report's answer", len(ks[0].running())+len(ks[1].running()), 7)
+	})
+}
+
+// An order that was not answered may be carried out minutes later. Its task
+// begins nowhere else, and its machine gets nothing more, until the machine's
+// session has ended or it is returned; reports that do not show it prove
+// nothing.
+func TestUnansweredOrderKeepsItsTask(t *testing.T) {
+	play(t, func(w *world) {
+		n, d, ks := w.seldom(2)
+		busy := spec("job-1", 4)
+		busy.Zone = "a"
+		w.submit(n, busy)
+		time.Sleep(time.Second)
+		k, other := ks[0], ks[1]
+		if len(k.running()) == 0 {
+			k, other = other, k
+		}
+		w.same("one machine is full", len(k.running()), 4)
+		w.cloud.refuseTurns = true
+		d.set(false, true)
+		w.submit(n, spec("job-2", 1))
+		time.Sleep(500 * time.Millisecond)
+		w.same("while it is on its way", len(other.report(n)), 0)
+		time.Sleep(2500 * time.Millisecond)
+		d.set(false, false)
+		k.exit(api.CauseDone)
+		for range 20 {
+			for _, o := range append(k.report(n), other.report(n)...) {
+				w.same("started again", o.Verb == api.VerbStart, false)
+			}
+			time.Sleep(time.Second)
+		}
+		w.submit(n, spec("job-4", 6))
+		k.serve(n, 2)
+		other.serve(n, 2)
+		w.same("more work there", len(other.running()), 0)
+		w.same("carried out late", d.release(), 1)
+		w.same("there", other.running(), []string{"job-2/0"})
+		other.serve(n, 2)
+		other.exit(api.CauseDone)
+		other.serve(n, 3)
+		w.same("phase", w.phase(n, "job-2"), "done")
+		// A new session refuses the order for good.
+		k.exit(api.CauseDone)
+		k.serve(n, 3)
+		k.exit(api.CauseDone)
+		k.serve(n, 2)
+		third := w.worker("i-3", "a", false)
+		d.machines["i-3"] = third
+		third.serve(n, 3)
+		k.serve(n, 1)
+		d.set(false, true)
+		w.submit(n, spec("job-3", 1))
+		time.Sleep(3 * time.Second)
+		d.set(false, false)
+		victim := k
+		n.look(func(c *Controller) {
+			for _, a := range c.reign.jobs["job-3"].live {
+				victim = d.machines[a.machine.name]
+			}
+		})
+		victim.rep.Session++
+		victim.rep.Tasks = nil
+		victim.report(n)
+		w.same("not carried out in a new session", d.release(), 0)
+		k.serve(n, 3)
+		third.serve(n, 3)
+		w.same("begun elsewhere", len(k.running())+len(third.running()), 1)
+	})
+}
+
+// A job cancelled while an order for it is unanswered: only the machine's
+// return keeps the task from beginning too late.
+func TestUnansweredOrderOfACancelledJob(t *testing.T) {
+	for _, cancelFirst := range []bool{false, true} {
+		play(t, func(w *world) {
+			n, d, ks := w.seldom(1)
+			w.submit(n, spec("job-0", 1)) // keeps the machine in use
+			time.Sleep(time.Second)
+			ks[0].report(n)
+			d.set(false, true)
+			w.submit(n, spec("job-1", 1))
+			if !cancelFirst {
+				time.Sleep(3 * time.Second)
+				w.same("waits", w.cloud.gone("i-0"), false)
+			}
+			if _, err := n.Abort(context.Background(), "job-1"); err != nil {
+				t.Fatal(err)
+			}
+			for range 4 {
+				ks[0].report(n)
+				time.Sleep(time.Second)
+			}
+			w.same("returned", w.cloud.gone("i-0"), true)
+		})
+	}
+}
+
+// Under a new leader an earlier one's order is refused by every machine that
+// the new one has heard, so it needs no memory of it.
+func TestUnansweredOrderOfAnEarlierLeader(t *testing.T) {
+	play(t, func(w *world) {
+		a, d, ks := w.seldom(2)
+		d.set(false, true)
+		w.submit(a, spec("job-1", 1))
+		time.Sleep(time.Second)
+		a.crash()
+		b := w.start("n0")
+		d.set(false, false)
+		for range 4 {
+			ks[0].report(b)
+			ks[1].report(b)
+			time.Sleep(time.Second)
+		}
+		w.same("begun once", len(ks[0].running())+len(ks[1].running()), 1)
+		w.same("carried out late", d.release(), 0)
+	})
+}
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -84,6 +84,9 @@
 	store *storetest.Fake
 	cloud *fakeCloud
 	teams []config.Team
+	// director takes the orders sent straight to machines; nil: none are sent.
+	director Director
+	reportS  float64
 	// zones are the nodes' zones.
 	zones map[string]string
 	// dead are the machines that do not answer when asked directly.
@@ -207,7 +210,7 @@
 	pol.MinCPUs = 100 // no machine is spare
 	s := &config.Settings{Node: name, Zone: w.zones[name], Site: config.SiteInfo{Teams: w.teams,
 		Objectives: []config.Objective{{Kind: "finished", Class: "c", WithinS: 90}},
-		Workers:    config.Workers{ReportS: 1, LeaseS: 10, CancelS: 30},
+		Workers:    config.Workers{ReportS: max(1, w.reportS), LeaseS: max(10, 5*w.reportS), CancelS: 30},
 		State:      config.StateLimits{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
 		Cloud:      config.CloudLimits{RPS: 5, ListLagS: 4}}}
 	if peers != nil {
@@ -218,7 +221,7 @@
 		}
 	}
 	log := slog.New(slog.DiscardHandler)
-	c := New(Config{Settings: s, Policy: pol, Store: st, Cloud: w.cloud, Peers: peers, Prober: w, Log: log})
+	c := New(Config{Settings: s, Policy: pol, Store: st, Cloud: w.cloud, Peers: peers, Prober: w, Director: w.director, Log: log})
 	ctx, cancel := context.WithCancel(context.Background())
 	cand := &election.Candidate{Node: name, Incarnation: fmt.Sprint(time.Now().UnixNano()), Store: st,
 		Lease: pol.LeaderLease, Renew: 3 * time.Second, Observer: c, Log: log, Depose: c.Depose(), Resigned: c.Resigns()}
@@ -265,6 +268,7 @@
 // worker is a scripted machine.
 type worker struct {
 	w   *world
+	mu  sync.Mutex
 	rep api.Report
 }
 
@@ -284,9 +288,11 @@
 
 // send sends a report; its orders are lost unless obeyed.
 func (k *worker) send(n *node) ([]api.Order, error) {
+	k.mu.Lock()
 	k.rep.Seq++
 	rep := k.rep
 	rep.Tasks = slices.Clone(k.rep.Tasks)
+	k.mu.Unlock()
 	return k.deliver(n, &rep)
 }
 
@@ -294,6 +300,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
 	ans, err := n.Report(ctx, rep)
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	if err == nil && ans.Term >= k.rep.Term {
 		k.rep.Term = ans.Term
 		return ans.Orders, nil
@@ -302,6 +310,12 @@
 }
 
 func (k *worker) obey(orders []api.Order) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.carryOut(orders)
+}
+
+func (k *worker) carryOut(orders []api.Order) {
 	for _, o := range orders {
 		i := slices.IndexFunc(k.rep.Tasks, func(t api.TaskReport) bool { return t.Task == o.Task && t.Attempt == o.Attempt })
 		switch {
@@ -325,6 +339,8 @@
 
 // exit ends every running task with a cause.
 func (k *worker) exit(cause string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	for i := range k.rep.Tasks {
 		if k.rep.Tasks[i].Phase == api.TaskRunning {
 			k.rep.Tasks[i].Phase, k.rep.Tasks[i].Cause = api.TaskExited, cause
@@ -334,6 +350,8 @@
 
 // running lists the tasks on the machine.
 func (k *worker) running() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	var out []string
 	for _, t := range k.rep.Tasks {
 		if t.Phase != api.TaskExited {
--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -150,7 +150,9 @@
 	// blurred is set if the machine was out of hearing during the run.
 	blurred bool
 	stop    *stopOrder
-	exited  bool
+	// direct is set if the start was sent straight to the machine.
+	direct *directStart
+	exited bool
 	// seen is the last of the machine's reports that showed the attempt.
 	seen int
 	// noted is set once what the exit means has been taken in.
@@ -199,6 +201,8 @@
 	// nextProbe and probeFails belong to the watch over silent machines.
 	nextProbe  time.Time
 	probeFails int
+	// ordering is set while orders are on their way straight to the machine.
+	ordering bool
 	// sentOn is when the machine was last told to report to a nearer node.
 	sentOn time.Time
 	// kept is until when another node is known to keep the machine alive.
--- a/internal/controller/recorder.go
+++ b/internal/controller/recorder.go
@@ -280,6 +280,7 @@
 			continue
 		}
 		m.roster = rosterDurable
+		r.dispatchUntil = time.Now().Add(dispatchFor)
 	}
 	for _, p := range b.progressed {
 		for i, by := range p.words {
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -53,6 +53,12 @@
 	recorder recorder
 	renter   renter
 	counts   counters
+	// dispatchUntil is until when free machines are looked for that could be
+	// given work directly; ordering is to how many such orders are on the way.
+	dispatchUntil time.Time
+	ordering      int
+	// grace is how long what waits is left to better machines.
+	grace time.Duration
 	// holders are the CPUs of open machines by the images that they have.
 	holders map[string]float64
 	// fetches is how many images a machine may fetch at the same time now.
@@ -105,6 +111,14 @@
 		r.teams[t.Name] = q
 		r.turns = append(r.turns, q)
 	}
+	// Half a round of reports, but no more than a small part of the time in
+	// which work within a guarantee should start.
+	r.grace = c.Settings.Site.Workers.Report() / 2
+	for _, o := range c.Settings.Site.Objectives {
+		if o.Kind == "guarantee" && o.WithinS > 0 {
+			r.grace = min(r.grace, config.Seconds(o.WithinS/5))
+		}
+	}
 	go r.load()
 	return r
 }
@@ -248,6 +262,7 @@
 	j.look(time.Now())
 	r.jobs[id] = j
 	team.Add(j)
+	r.dispatchUntil = time.Now().Add(dispatchFor)
 	r.c.Log.Debug("job", "job", id, "class", j.spec.Class, "team", j.spec.Team, "tasks", j.spec.Tasks)
 }
 
@@ -286,6 +301,9 @@
 func (r *reign) withdraw(j *job) {
 	r.forget(j)
 	r.c.final.Add(j.spec.ID, api.JobState{ID: j.spec.ID, Phase: api.JobWithdrawn})
+	for _, a := range j.live {
+		r.settleUnsure(a)
+	}
 	for first := range j.chunks {
 		r.recorder.drop(store.ProgressKey(j.spec.ID, first))
 	}
@@ -331,6 +349,7 @@
 		return
 	}
 	r.recorder.flush(now)
+	r.dispatch(now)
 	if now.Before(r.nextScan) {
 		return
 	}
@@ -419,7 +438,7 @@
 func (r *reign) scanMachines(now time.Time) {
 	r.silences(now)
 	for _, m := range r.machines {
-		if m.leaving && !m.returning && !m.gone && len(m.attempts) == 0 {
+		if m.leaving && !m.returning && !m.gone && m.empty() {
 			r.renter.giveBack(m)
 		}
 	}
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -155,6 +155,9 @@
 	r.heed(m, now)
 	for key, a := range m.attempts {
 		if a.seen != m.reports {
+			if a.direct.mayCome(rep) {
+				continue
+			}
 			// Reaped, killed with its session, or never begun: a newer
 			// report without it shows that it is off the machine.
 			if !a.exited && !a.noted && a.phase == "" {
@@ -473,9 +476,9 @@
 // all that waits of it. They are left to pull it at their next reports: the
 // work gathers where its image is, on cheap machines and on those in use, and
 // the others become empty and go back to the cloud. A job that has waited
-// for half a round of reports is taken by anybody.
+// for its grace is taken by anybody.
 func (r *reign) betterElsewhere(j *job, m *machine, now time.Time) bool {
-	if now.Sub(j.waiting) > r.c.Settings.Site.Workers.Report()/2 {
+	if now.Sub(j.waiting) > r.grace {
 		return false
 	}
 	mine, slots := r.strain(j, m), 0
--- a/internal/controller/trouble_test.go
+++ b/internal/controller/trouble_test.go
@@ -267,14 +267,12 @@
 // are quarantined.
 func TestFewMachinesAreTakenForSlow(t *testing.T) {
 	play(t, func(w *world) {
-		n := w.start("n0")
 		var ks []*worker
 		for i := range 12 {
 			ks = append(ks, w.worker(fmt.Sprint("i-", i), "a", false))
 		}
 		w.teams[0].CPUs, w.teams[0].CPUsMax = 100, 100
-		n.crash()
-		n = w.start("n0")
+		n := w.start("n0")
 		s := spec("job-1", 400)
 		s.EstimateS = 60
 		w.submit(n, s)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,9 +71,10 @@
 	}
 	st := store.NewClient(s.Outside.State, s.Site.State)
 	peers := newPeers(s.Peers)
+	machines := worker.NewClient()
 	c := controller.New(controller.Config{
 		Settings: s, Policy: p, Store: st, Cloud: cloud.NewClient(s.Outside.Cloud, s.Site.Cloud),
-		Peers: peers, Prober: worker.NewProber(), Log: log,
+		Peers: peers, Prober: machines, Director: machines, Log: log,
 	})
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -1,42 +1,46 @@
-// Package worker asks machines directly whether they are alive. Orders never
-// go this way: they could be carried out late.
+// Package worker speaks to machines directly: it asks whether they are alive,
+// and brings orders that should not wait for a report.
 package worker
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
+
+	"example.org/ivytrestle/internal/api"
 )
 
-// Prober asks machines for their state.
-type Prober struct{ http *http.Client }
+// Client speaks to machines.
+type Client struct{ http *http.Client }
 
-// NewProber makes a prober. Connections are not kept: a machine is only asked
-// when it has fallen silent.
-func NewProber() *Prober {
-	return &Prober{&http.Client{Transport: &http.Transport{
+// NewClient makes a client. Connections are not kept: there is one machine for
+// each, and a kept one could have a request sent again.
+func NewClient() *Client {
+	return &Client{&http.Client{Transport: &http.Transport{
 		DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
 		DisableKeepAlives:  true,
 		DisableCompression: true,
-		MaxConnsPerHost:    1,
 	}}}
 }
 
 // Probe returns nil if the machine at an address answers.
-func (p *Prober) Probe(ctx context.Context, addr string) error {
+func (c *Client) Probe(ctx context.Context, addr string) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/inspect", nil)
 	if err != nil {
 		return fmt.Errorf("probe: %w", err)
 	}
-	resp, err := p.http.Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
 		return fmt.Errorf("probe: %w", err)
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<20)); err != nil {
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer)); err != nil {
 		return fmt.Errorf("probe: %w", err)
 	}
 	if resp.StatusCode != http.StatusOK {
@@ -44,3 +48,42 @@
 	}
 	return nil
 }
+
+const maxAnswer = 1 << 20
+
+// Order brings orders to a machine, once. It returns the number of the report
+// that shows them carried out.
+func (c *Client) Order(ctx context.Context, addr string, orders *api.DirectOrders) (seq uint64, err error) {
+	raw, err := json.Marshal(orders)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", api.ErrNotDone, err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/orders", bytes.NewReader(raw))
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", api.ErrNotDone, err)
+	}
+	req.GetBody = nil // never sent twice
+	// Without a connection nothing was sent, and an attempt to connect that
+	// is given up does not complete later.
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err != nil {
+		if !connected {
+			return 0, fmt.Errorf("%w: %w", api.ErrNotDone, err)
+		}
+		return 0, fmt.Errorf("%w: %w", api.ErrUnsure, err)
+	}
+	defer resp.Body.Close()
+	var rep api.Report
+	switch resp.StatusCode {
+	case http.StatusConflict, http.StatusBadRequest:
+		return 0, fmt.Errorf("%w: status %d", api.ErrNotDone, resp.StatusCode)
+	case http.StatusOK:
+		if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&rep); err != nil {
+			return 0, fmt.Errorf("%w: %w", api.ErrUnsure, err)
+		}
+		return rep.Seq, nil
+	}
+	return 0, fmt.Errorf("%w: status %d", api.ErrUnsure, resp.StatusCode)
+}
--- /dev/null
+++ b/internal/worker/worker_test.go
@@ -0,0 +1,58 @@
+package worker
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"example.org/ivytrestle/internal/api"
+)
+
+// machine answers every request on a connection with a status and a body, or
+// breaks off after it has read one.
+func machine(status int, body string) func(context.Context, string, string) (net.Conn, error) {
+	return func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			defer far.Close()
+			req, err := http.ReadRequest(bufio.NewReader(far))
+			if err != nil || status == 0 {
+				return
+			}
+			io.Copy(io.Discard, req.Body)
+			resp := &http.Response{StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Close: true,
+				ContentLength: int64(len(body)), Body: io.NopCloser(strings.NewReader(body))}
+			resp.Write(far)
+		}()
+		return near, nil
+	}
+}
+
+// Only what certainly was not carried out may be ordered elsewhere.
+func TestOutcomesOfDirectOrders(t *testing.T) {
+	refused := func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("refused") }
+	for name, c := range map[string]struct {
+		dial func(context.Context, string, string) (net.Conn, error)
+		want error
+	}{
+		"carried out":      {machine(200, `{"Host":"i-1","Tally":7}`), nil},
+		"refused":          {machine(409, `{}`), api.ErrNotDone},
+		"malformed":        {machine(400, `{}`), api.ErrNotDone},
+		"no connection":    {refused, api.ErrNotDone},
+		"no answer":        {machine(0, ""), api.ErrUnsure},
+		"another status":   {machine(500, ""), api.ErrUnsure},
+		"senseless answer": {machine(200, `{"Host"`), api.ErrUnsure},
+	} {
+		client := NewClient()
+		client.http.Transport.(*http.Transport).DialContext = c.dial
+		seq, err := client.Order(t.Context(), "10.0.0.1:1", &api.DirectOrders{Term: 1, Session: 1})
+		if !errors.Is(err, c.want) || (err == nil) != (seq == 7) {
+			t.Errorf("%s: %d, %v", name, seq, err)
+		}
+	}
+}
