Submissions have a part of the write rate of their own

Cause: one budget for a node's writes let a submission at the leader wait behind a transaction of up to 20 records: at 11 writes a second, for up to 1.8 s. The leader's records keep to their 40%; the rest is the nodes' in equal parts. A test fails with one budget.

--- a/internal/controller/recorder.go
+++ b/internal/controller/recorder.go
@@ -33,17 +33,15 @@
 	nextProgress time.Time
 }
 
-// leaderShare is the part of the service's write rate for the leader's
-// records.
-const leaderShare = 0.4
-
 const progressInterval = 500 * time.Millisecond
 
 func (w *recorder) init(r *reign) {
 	lim := r.c.Settings.Site.State
 	w.r = r
 	w.maxOps = lim.TxnOps
-	w.limiter = rate.NewLimiter(rate.Limit(lim.WriteRPS*leaderShare), lim.TxnOps)
+	records := lim.WriteRPS * store.RecordShare
+	// A burst of records leaves room for submissions in the service's own.
+	w.limiter = rate.NewLimiter(rate.Limit(records), max(2, min(lim.TxnOps, int(records))))
 	w.maxBytes = 48 << 10
 	// The bit set is written as base64; half the value's size leaves room.
 	w.perChunk = int(lim.ValueKB*1024/2) * 8
@@ -106,7 +104,7 @@
 // next takes the next batch, the most urgent first, within what the write rate
 // allows at this moment.
 func (w *recorder) next(now time.Time) *batch {
-	b := &batch{txn: store.Txn{Guards: []store.Guard{w.r.termGuard()}}}
+	b := &batch{txn: store.Txn{Records: true, Guards: []store.Guard{w.r.termGuard()}}}
 	allowed := min(w.maxOps, int(w.limiter.TokensAt(now)))
 	for len(w.finishing) > 0 && b.bytes < w.maxBytes {
 		j := w.finishing[0]
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -58,6 +58,9 @@
 type Txn struct {
 	Guards []Guard `json:"Guards"`
 	Ops    []Op    `json:"Apply,omitempty"`
+	// Records marks the leader's records, which keep to a part of the write
+	// rate of their own: no submission waits behind them.
+	Records bool `json:"-"`
 }
 
 // Result tells how a transaction ended.
@@ -112,12 +115,19 @@
 	writes   *rate.Limiter
 }
 
-// nodeShare is the part of the service's budget that one node may use. The
-// limits are the service's, shared by all nodes; the leader needs most.
-const nodeShare = 0.45
+// The limits are the service's, shared by all nodes. One node may use nodeShare
+// of the requests, since the leader needs most. Of the writes, RecordShare is for
+// the leader's records, and the rest is the nodes' in equal parts, for what
+// users wait for.
+const (
+	nodeShare   = 0.45
+	RecordShare = 0.4
+	// leastBurst lets a node cancel two jobs at once however small its part.
+	leastBurst = 8
+)
 
-// NewClient makes the client of a state service.
-func NewClient(addr string, lim config.StateLimits) *Client {
+// NewClient makes the client of a state service that some nodes share.
+func NewClient(addr string, lim config.StateLimits, nodes int) *Client {
 	transport := func(conns int) *http.Client {
 		return &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
@@ -127,11 +137,11 @@
 			DisableCompression:  true,
 		}}
 	}
-	rps, wps := lim.RPS*nodeShare, lim.WriteRPS*nodeShare
+	rps, wps := lim.RPS*nodeShare, lim.WriteRPS*(1-RecordShare)/float64(max(nodes, 1))
 	return &Client{
 		base: "http://" + addr, http: transport(12), watches: transport(4),
 		requests: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
-		writes:   rate.NewLimiter(rate.Limit(wps), max(lim.TxnOps, int(wps))),
+		writes:   rate.NewLimiter(rate.Limit(wps), max(leastBurst, int(wps))),
 	}
 }
 
@@ -164,7 +174,7 @@
 
 // Txn carries out a transaction.
 func (c *Client) Txn(ctx context.Context, txn Txn) (Result, error) {
-	if n := len(txn.Ops); n > 0 {
+	if n := len(txn.Ops); n > 0 && !txn.Records {
 		if err := c.writes.WaitN(ctx, n); err != nil {
 			return Result{}, fmt.Errorf("%w: write budget: %w", ErrRefused, err)
 		}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"example.org/ivytrestle/internal/config"
@@ -34,7 +36,7 @@
 }
 
 func scripted(s *script) *Client {
-	c := NewClient("10.0.0.1:1", config.StateLimits{RPS: 100, WriteRPS: 25, TxnOps: 12})
+	c := NewClient("10.0.0.1:1", config.StateLimits{RPS: 100, WriteRPS: 25, TxnOps: 12}, 3)
 	c.http.Transport, c.watches.Transport = s, s
 	return c
 }
@@ -89,3 +91,36 @@
 		}
 	}
 }
+
+// What users wait for has a part of the write rate of its own: a backlog of the
+// leader's records must not keep a submission waiting.
+func TestSubmissionsDoNotWaitBehindRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := scripted(&script{status: 200, body: `{"Ring":7}`})
+		ops := make([]Op, 12)
+		for i := range ops {
+			ops[i] = Op{Delete: "p/" + strconv.Itoa(i)}
+		}
+		t0 := time.Now()
+		for range 4 {
+			if _, err := c.Txn(t.Context(), Txn{Ops: ops, Records: true}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for range leastBurst {
+			if _, err := c.Txn(t.Context(), Txn{Ops: ops[:1]}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if took := time.Since(t0); took > 0 {
+			t.Errorf("submissions waited %v", took)
+		}
+		// Beyond that, submissions keep to their part.
+		for range 10 {
+			c.Txn(t.Context(), Txn{Ops: ops[:1]})
+		}
+		if took := time.Since(t0); took < time.Second {
+			t.Errorf("ten more took only %v", took)
+		}
+	})
+}
