Floods and idle connections: refused at once, closed by age, renewals apart

- At most 48 submissions and 160 questions at a time; more get 429 with Retry-After at once.
Reports and health checks are not among them.
- Too many connections: the one idle for longest makes room, instead of new ones waiting in front of the door.
- Users' questions take at most 60% of a node's requests to the store, so that renewals do not wait behind them.
- A test of an earlier incarnation's late takeover and records.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -6,7 +6,10 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 )
 
@@ -154,3 +157,49 @@
 		}
 	}
 }
+
+// A flood is refused at once and told when to come back, while reports and
+// health checks are served.
+func TestFloodIsRefusedAtOnce(t *testing.T) {
+	stuck := &stuckBackend{stub: &stub{}, release: make(chan struct{})}
+	h := Handler(stuck, slog.New(slog.DiscardHandler))
+	ask := func(method, path, body string) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+		return w
+	}
+	var served sync.WaitGroup
+	for range maxAsks {
+		served.Go(func() { ask("GET", "/api/jobs/job-000001", "") })
+	}
+	for stuck.waiting.Load() < maxAsks {
+		runtime.Gosched()
+	}
+	if w := ask("GET", "/api/jobs/job-000001", ""); w.Code != 429 || w.Header().Get("Retry-After") == "" {
+		t.Errorf("one more poll: %d, %v", w.Code, w.Header())
+	}
+	if w := ask("GET", "/ready", ""); w.Code != 200 {
+		t.Errorf("ready: %d", w.Code)
+	}
+	if w := ask("POST", "/v1/report", `{"Host":"i-1"}`); w.Code != 200 {
+		t.Errorf("report: %d", w.Code)
+	}
+	close(stuck.release)
+	served.Wait()
+	if w := ask("GET", "/api/jobs/job-000001", ""); w.Code != 404 {
+		t.Errorf("after the flood: %d", w.Code)
+	}
+}
+
+// stuckBackend answers polls only when released.
+type stuckBackend struct {
+	*stub
+	waiting atomic.Int64
+	release chan struct{}
+}
+
+func (s *stuckBackend) Job(ctx context.Context, id string) (JobState, error) {
+	s.waiting.Add(1)
+	<-s.release
+	return s.stub.Job(ctx, id)
+}
--- a/internal/api/handlers.go
+++ b/internal/api/handlers.go
@@ -52,11 +52,11 @@
 
 // Handler serves users, workers and health checks.
 func Handler(b Backend, log *slog.Logger) http.Handler {
-	s := &server{b: b, log: log}
+	s := &server{b: b, log: log, submits: make(chan struct{}, maxSubmits), asks: make(chan struct{}, maxAsks)}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /api/jobs", s.submit)
-	mux.HandleFunc("GET /api/jobs/{id}", s.job)
-	mux.HandleFunc("POST /api/jobs/{id}/abort", s.abort)
+	mux.HandleFunc("POST /api/jobs", s.limited(s.submits, s.submit))
+	mux.HandleFunc("GET /api/jobs/{id}", s.limited(s.asks, s.job))
+	mux.HandleFunc("POST /api/jobs/{id}/abort", s.limited(s.submits, s.abort))
 	mux.HandleFunc("POST /v1/report", s.report)
 	mux.HandleFunc("GET /ready", s.ready)
 	mux.HandleFunc("GET /status", s.status)
@@ -66,6 +66,31 @@
 type server struct {
 	b   Backend
 	log *slog.Logger
+	// submits and asks bound the users' requests that are being served: what
+	// cannot be is refused at once, with a time to come back.
+	submits, asks chan struct{}
+}
+
+// At most so many submissions and questions are served at the same time. Each
+// submission holds a body of up to MaxBody, and there is only so much memory;
+// questions wait for the leader or the store.
+const (
+	maxSubmits = 48
+	maxAsks    = 160
+)
+
+// limited serves a request if there is a slot for it.
+func (s *server) limited(slots chan struct{}, serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case slots <- struct{}{}:
+			defer func() { <-slots }()
+			serve(w, r)
+		default:
+			w.Header().Set("Retry-After", strconv.Itoa(int(crowdedAfter/time.Second)))
+			s.fail(w, http.StatusTooManyRequests, errors.New("too many requests just now"))
+		}
+	}
 }
 
 func (s *server) ready(w http.ResponseWriter, _ *http.Request) {
@@ -190,6 +215,9 @@
 // retryAfter is when a user should come back to a node that could not answer.
 const retryAfter = time.Second
 
+// crowdedAfter is when one should who came at a time of too many.
+const crowdedAfter = 2 * time.Second
+
 func (s *server) unavailable(w http.ResponseWriter, err error) {
 	s.log.Debug("request not served", "err", err)
 	w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter/time.Second)))
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -39,11 +39,13 @@
 	Settings *config.Settings
 	Policy   *policy.Policy
 	Store    store.Service
-	Cloud    cloud.Service
-	Peers    PeerAsker
-	Prober   Prober
-	Director Director
-	Log      *slog.Logger
+	// UserStore is Store for what users ask; nil: Store itself.
+	UserStore store.Service
+	Cloud     cloud.Service
+	Peers     PeerAsker
+	Prober    Prober
+	Director  Director
+	Log       *slog.Logger
 }
 
 // Controller is one node's state and its owner.
@@ -77,8 +79,11 @@
 	if err != nil {
 		panic(err) // only for a size that is not positive
 	}
+	if cfg.UserStore == nil {
+		cfg.UserStore = cfg.Store
+	}
 	return &Controller{
-		Config: cfg, records: store.Records{Store: cfg.Store},
+		Config: cfg, records: store.Records{Store: cfg.UserStore},
 		mail: make(chan message, 256), depose: make(chan uint64, 4), resigns: make(chan string, 4), final: final,
 		around: newAround(cfg.Settings.Peers, time.Now()),
 	}
--- a/internal/controller/trouble_test.go
+++ b/internal/controller/trouble_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"strings"
@@ -290,3 +291,62 @@
 		}
 	})
 }
+
+// A controller that is back within a fraction of a second, in the middle of its
+// own election: what its earlier incarnation sent and is carried out late must
+// not end or share the new one's term, nor change a job accepted meanwhile.
+func TestLateRequestsOfAnEarlierIncarnation(t *testing.T) {
+	play(t, func(w *world) {
+		w.store.Hold(touches("leader"))
+		a := w.start("n0")
+		w.same("takeover on its way", w.store.Held(), 1)
+		a.crash()
+		time.Sleep(100 * time.Millisecond)
+		w.store.Hold(nil)
+		b := w.start("n0")
+		k := w.worker("i-1", "a", false)
+		k.serve(b, 2)
+		term := k.rep.Term
+		w.same("new incarnation leads", term > 0, true)
+		for _, res := range w.store.Release() {
+			w.same("late takeover carried out", res.OK, false)
+		}
+		k.serve(b, 8)
+		w.same("term", k.rep.Term, term)
+
+		w.store.Hold(touches(store.ActivePrefix))
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if _, _, err := b.Submit(ctx, spec("job-1", 1)); err == nil {
+			t.Error("accepted without a record")
+		}
+		b.crash()
+		time.Sleep(100 * time.Millisecond)
+		w.store.Hold(nil)
+		c := w.start("n0")
+		w.submit(c, spec("job-1", 1))
+		k.serve(c, 4)
+		k.exit(api.CauseDone)
+		k.serve(c, 4)
+		w.same("phase", w.phase(c, "job-1"), "done")
+		for _, res := range w.store.Release() {
+			w.same("late record carried out", res.OK, false)
+		}
+		w.same("phase", w.phase(c, "job-1"), "done")
+		k.serve(c, 3)
+		w.same("started again", len(k.running()), 0)
+	})
+	// The late takeover may also come first: the new incarnation finds its own
+	// name, and must take a term of its own.
+	play(t, func(w *world) {
+		w.store.Lose(touches("leader"))
+		a := w.start("n0")
+		a.crash()
+		time.Sleep(100 * time.Millisecond)
+		w.store.Lose(nil)
+		b := w.start("n0")
+		k := w.worker("i-1", "a", false)
+		k.serve(b, 2)
+		w.same("term of its own", k.rep.Term, 2)
+	})
+}
--- /dev/null
+++ b/internal/daemon/crowd.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"container/list"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// crowd bounds the open connections of a server. When there are too many, the
+// one that has been idle for longest makes room: workers and users that are
+// still there speak every few seconds, so what sits idle for longer is nobody's
+// loss, and nobody is kept waiting in front of the door.
+type crowd struct {
+	limit int
+
+	mu   sync.Mutex
+	open map[net.Conn]bool
+	// idle holds the connections without a request, the longest idle first.
+	idle *list.List
+	at   map[net.Conn]*list.Element
+}
+
+func newCrowd(limit int) *crowd {
+	return &crowd{limit: limit, open: map[net.Conn]bool{}, idle: list.New(), at: map[net.Conn]*list.Element{}}
+}
+
+// watch is an http.Server's ConnState.
+func (c *crowd) watch(conn net.Conn, state http.ConnState) {
+	if out := c.note(conn, state); out != nil {
+		out.Close()
+	}
+}
+
+// note takes a change in, and returns the connection to close, if any.
+func (c *crowd) note(conn net.Conn, state http.ConnState) net.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e := c.at[conn]; e != nil {
+		c.idle.Remove(e)
+		delete(c.at, conn)
+	}
+	switch state {
+	case http.StateClosed, http.StateHijacked:
+		delete(c.open, conn)
+		return nil
+	case http.StateActive:
+		return nil
+	}
+	c.open[conn] = true
+	c.at[conn] = c.idle.PushBack(conn)
+	if len(c.open) <= c.limit {
+		return nil
+	}
+	// The newest is last: it goes only if all others are busy.
+	e := c.idle.Front()
+	out := c.idle.Remove(e).(net.Conn)
+	delete(c.at, out)
+	delete(c.open, out)
+	return out
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,8 +15,6 @@
 	"strings"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/cloud"
 	"example.org/ivytrestle/internal/config"
@@ -74,7 +72,7 @@
 	machines := worker.NewClient()
 	c := controller.New(controller.Config{
 		Settings: s, Policy: p, Store: st, Cloud: cloud.NewClient(s.Outside.Cloud, s.Site.Cloud),
-		Peers: peers, Prober: machines, Director: machines, Log: log,
+		UserStore: st.ForUsers(), Peers: peers, Prober: machines, Director: machines, Log: log,
 	})
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -97,8 +95,8 @@
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	// Sockets are kept for the outside services and the peers.
-	conns := max(16, s.Site.Limits.FDLimit*7/10)
-	go func() { failed <- srv.Serve(netutil.LimitListener(apiLn, conns)) }()
+	srv.ConnState = newCrowd(max(16, s.Site.Limits.FDLimit*7/10)).watch
+	go func() { failed <- srv.Serve(apiLn) }()
 	log.Info("started", "node", s.Node, "zone", s.Zone, "api", s.APIAddr, "pid", os.Getpid())
 	select {
 	case <-ctx.Done():
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -113,6 +113,8 @@
 	watches  *http.Client
 	requests *rate.Limiter
 	writes   *rate.Limiter
+	// users is set in the view of a client that serves users' questions.
+	users *rate.Limiter
 }
 
 // The limits are the service's, shared by all nodes. One node may use nodeShare
@@ -145,6 +147,18 @@
 	}
 }
 
+// userShare is the part of a node's requests that users' questions may take.
+const userShare = 0.6
+
+// ForUsers is a view of the client for what users ask. However many ask, a part
+// of the requests is left to renewals and records.
+func (c *Client) ForUsers() *Client {
+	u := *c
+	rps := float64(c.requests.Limit()) * userShare
+	u.users = rate.NewLimiter(rate.Limit(rps), max(1, int(rps)))
+	return &u
+}
+
 // Get reads one key.
 func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
 	var e Entry
@@ -253,6 +267,11 @@
 
 // call sends one request within the budget and decodes the answer.
 func (c *Client) call(ctx context.Context, hc *http.Client, method, path string, in, out any) (int, error) {
+	if c.users != nil {
+		if err := c.users.Wait(ctx); err != nil {
+			return 0, fmt.Errorf("%w: users' request budget: %w", ErrRefused, err)
+		}
+	}
 	if err := c.requests.Wait(ctx); err != nil {
 		return 0, fmt.Errorf("%w: request budget: %w", ErrRefused, err)
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +17,7 @@
 
 // script answers every request alike, or fails it.
 type script struct {
+	mu     sync.Mutex
 	status int
 	body   string
 	err    error
@@ -24,6 +26,8 @@
 }
 
 func (s *script) RoundTrip(r *http.Request) (*http.Response, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.path = r.URL.RequestURI()
 	if r.Body != nil {
 		raw, _ := io.ReadAll(r.Body)
@@ -47,19 +51,19 @@
 	ctx := context.Background()
 	for _, c := range []struct {
 		name string
-		s    script
+		s    *script
 		want error
 	}{
-		{"carried out", script{status: 200, body: `{"Ring":7}`}, nil},
-		{"conditions failed", script{status: 409, body: `{"failed":["term"],"Ring":7}`}, nil},
-		{"over the rate", script{status: 429, body: `{}`}, ErrRefused},
-		{"outage", script{status: 503, body: `trouble`}, ErrRefused},
-		{"lease ended", script{status: 400, body: `{"error":"no such lease"}`}, ErrNoLease},
-		{"malformed", script{status: 200, body: `<html>`}, ErrUnknown},
-		{"reset", script{err: io.ErrUnexpectedEOF}, ErrUnknown},
-		{"anything else", script{status: 418, body: `{}`}, ErrUnknown},
+		{"carried out", &script{status: 200, body: `{"Ring":7}`}, nil},
+		{"conditions failed", &script{status: 409, body: `{"failed":["term"],"Ring":7}`}, nil},
+		{"over the rate", &script{status: 429, body: `{}`}, ErrRefused},
+		{"outage", &script{status: 503, body: `trouble`}, ErrRefused},
+		{"lease ended", &script{status: 400, body: `{"error":"no such lease"}`}, ErrNoLease},
+		{"malformed", &script{status: 200, body: `<html>`}, ErrUnknown},
+		{"reset", &script{err: io.ErrUnexpectedEOF}, ErrUnknown},
+		{"anything else", &script{status: 418, body: `{}`}, ErrUnknown},
 	} {
-		_, err := scripted(&c.s).Txn(ctx, Txn{Ops: []Op{{Put: "a", Value: 1}}})
+		_, err := scripted(c.s).Txn(ctx, Txn{Ops: []Op{{Put: "a", Value: 1}}})
 		if !errors.Is(err, c.want) {
 			t.Errorf("%s: %v, want %v", c.name, err, c.want)
 		}
@@ -124,3 +128,24 @@
 		}
 	})
 }
+
+// However many polls for jobs unknown wait for their turn, a renewal does not.
+func TestRenewalsDoNotWaitBehindUsers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := scripted(&script{status: 404, body: `{}`})
+		users := c.ForUsers()
+		for range 300 {
+			go users.Get(t.Context(), "a/job-1")
+		}
+		synctest.Wait()
+		t0 := time.Now()
+		for range 5 {
+			c.Extend(t.Context(), 7)
+			time.Sleep(time.Second)
+		}
+		if waited := time.Since(t0) - 5*time.Second; waited > 100*time.Millisecond {
+			t.Errorf("renewals waited %v", waited)
+		}
+		time.Sleep(time.Minute)
+	})
+}
