--- a/internal/controller/apart_test.go
+++ b/internal/controller/apart_test.go
@@ -226,3 +226,32 @@
 		}
 	})
 }
+
+// When only the connections between the nodes are refused, machines of the
+// other zone go to the leader themselves. One that comes back, because it
+// cannot reach the leader either, is kept alive.
+func TestConnectionsBetweenNodesRefused(t *testing.T) {
+	play(t, func(w *world) {
+		l, a, b, _, _ := w.pair("a", "b")
+		far := w.worker("i-2", "b", false)
+		far.serve(a, 3)
+		far.serve(b, 3)
+		l.refuse.Store(true)
+		l.cut.Store(true)
+		var other *api.NotLeaderError
+		sentOn := 0
+		for range 20 {
+			_, err := far.send(b)
+			if errors.As(err, &other) && other.Leader == "n0" {
+				sentOn++
+			} else if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+		}
+		w.same("sent on once", sentOn, 1)
+		if _, err := far.send(a); err != nil {
+			t.Errorf("the leader sent it back: %v", err)
+		}
+	})
+}
--- a/internal/controller/around.go
+++ b/internal/controller/around.go
@@ -67,6 +67,9 @@
 	return n != nil && n.failed == 0 && now.Sub(n.seen) < 3*pingEvery
 }
 
+// lost tells whether the node has not answered for a while.
+func (n *neighbour) lost() bool { return n != nil && n.failed > unreachedAfter }
+
 // leads names the node that leads, as far as known here.
 func (c *Controller) leads(now time.Time) string {
 	if c.leader != "" && c.leader != c.Settings.Node && c.around.storeOK {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -21,6 +21,10 @@
 	"example.org/ivytrestle/internal/store"
 )
 
+// ErrRefused means that a node refuses connections from here, although the
+// network to its host works.
+var ErrRefused = errors.New("connection refused")
+
 // PeerAsker speaks to the other nodes.
 type PeerAsker interface {
 	// Job returns ErrUnavailable when the node cannot answer.
@@ -28,7 +32,7 @@
 	// Ping returns how the node stands, if it can be reached.
 	Ping(ctx context.Context, node string) (Standing, error)
 	// Report passes a machine's report on to the leader. NotLeaderError means
-	// that the node does not lead.
+	// that the node does not lead, ErrRefused that connections are refused.
 	Report(ctx context.Context, node string, rep *api.Report) (api.ReportAnswer, error)
 	// Resign tells a node that self has stopped to act in a term.
 	Resign(ctx context.Context, node, self string, term uint64) error
@@ -64,7 +68,9 @@
 	reign  *reign
 	keep   keeper
 	around around
-	final  *lru.Cache[string, api.JobState]
+	// sent is when machines were sent on to the leader, past this node.
+	sent  map[string]time.Time
+	final *lru.Cache[string, api.JobState]
 }
 
 // message is what the owner goroutine is sent.
@@ -85,7 +91,7 @@
 	return &Controller{
 		Config: cfg, records: store.Records{Store: cfg.UserStore},
 		mail: make(chan message, 256), depose: make(chan uint64, 4), resigns: make(chan string, 4), final: final,
-		around: newAround(cfg.Settings.Peers, time.Now()),
+		sent: map[string]time.Time{}, around: newAround(cfg.Settings.Peers, time.Now()),
 	}
 }
 
--- a/internal/controller/gate.go
+++ b/internal/controller/gate.go
@@ -26,7 +26,7 @@
 		return ans, err
 	}
 	// The leader cannot be reached from here: its machines are kept alive.
-	r, err = c.take(ctx, reportMsg{rep: rep, unreached: r.passTo})
+	r, err = c.take(ctx, reportMsg{rep: rep, unreached: r.passTo, refused: errors.Is(err, ErrRefused)})
 	return r.ans, err
 }
 
@@ -63,6 +63,8 @@
 	// names the leader if this node has tried to in vain.
 	passed    bool
 	unreached string
+	// refused is set if its connections are refused.
+	refused bool
 }
 
 func (m reportMsg) apply(c *Controller) {
@@ -85,6 +87,14 @@
 		m.reply <- reportReply{passTo: leader}
 		return
 	}
+	if m.refused && c.around.nodes[leader].lost() {
+		// Only the connections between the nodes are refused, or the leader
+		// restarts: the machine may well reach it itself. By now that knows,
+		// too, not to send it back here.
+		c.noteSent(m.rep.Machine, now)
+		m.reply <- reportReply{err: &api.NotLeaderError{Leader: leader}}
+		return
+	}
 	unreached := m.unreached == leader || !c.around.nodes[leader].reached(now)
 	if ans, ok := c.keep.answer(m.rep, leader, c.keepFor(), unreached, now); ok {
 		m.reply <- reportReply{ans: ans}
@@ -120,5 +130,27 @@
 // passes tells whether a report is passed on to the leader.
 func (c *Controller) passes(m reportMsg, leader string, now time.Time) bool {
 	n := c.around.nodes[leader]
-	return n != nil && m.unreached == "" && m.rep.Zone == c.Settings.Zone && n.zone != c.Settings.Zone && n.reached(now)
+	return n != nil && m.unreached == "" && m.rep.Zone == c.Settings.Zone && n.zone != c.Settings.Zone &&
+		(n.reached(now) || n.failed == 1 || c.mayBeReached(m.rep.Machine, now))
 }
+
+// mayBeReached tells whether it is time to try the leader's connection again
+// for a machine that has not been sent on.
+func (c *Controller) mayBeReached(machine string, now time.Time) bool {
+	return now.Sub(c.sent[machine]) >= sendOnAgain
+}
+
+// noteSent notes that a machine is sent to the leader itself. One that comes
+// back cannot reach it either, and is not sent again for a while: trying would
+// take longer than its lease.
+func (c *Controller) noteSent(machine string, now time.Time) {
+	if len(c.sent) >= maxSent {
+		clear(c.sent)
+	}
+	c.sent[machine] = now
+}
+
+const (
+	sendOnAgain = time.Minute
+	maxSent     = 10_000
+)
--- a/internal/controller/rules_test.go
+++ b/internal/controller/rules_test.go
@@ -663,6 +663,8 @@
 type links struct {
 	nodes sync.Map
 	cut   atomic.Bool
+	// refuse says that a cut link refuses connections.
+	refuse atomic.Bool
 }
 
 func (l *links) add(name string, n *node) *node { l.nodes.Store(name, n); return n }
@@ -695,6 +697,9 @@
 func (l *links) Report(ctx context.Context, name string, rep *api.Report) (api.ReportAnswer, error) {
 	n, err := l.to(name)
 	if err != nil {
+		if l.refuse.Load() {
+			err = ErrRefused
+		}
 		return api.ReportAnswer{}, err
 	}
 	return n.PassedReport(ctx, rep)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -119,6 +119,9 @@
 		r.Tasks[i] = &peer.TaskReport{Task: t.Task, Attempt: t.Attempt, Phase: t.Phase, Cause: t.Cause, Saved: t.Saved}
 	}
 	ans, err := cl.Report(ctx, r)
+	if errors.Is(err, peer.ErrRefused) {
+		return api.ReportAnswer{}, controller.ErrRefused
+	}
 	if errors.Is(err, peer.ErrUnable) {
 		return api.ReportAnswer{}, &api.NotLeaderError{}
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -23,6 +24,10 @@
 // ErrUnable means that the peer is not entitled to answer.
 var ErrUnable = errors.New("peer: not entitled to answer")
 
+// ErrRefused means that the peer's connections are refused: by a packet filter,
+// or since no process is there. Either way the network to its host works.
+var ErrRefused = errors.New("peer: connection refused")
+
 // Handler answers a peer's questions. An error tells the peer that this node is
 // unable to answer.
 type Handler interface {
@@ -139,6 +144,8 @@
 	waiting map[uint64]chan *Response
 	dialing bool
 	downTil time.Time
+	// refused is set if the last connection was refused, not left hanging.
+	refused bool
 	// heard is when the peer last answered anything.
 	heard time.Time
 }
@@ -237,6 +244,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if time.Now().Before(c.downTil) || c.dialing {
+		if c.refused {
+			return nil, 0, ErrRefused
+		}
 		return nil, 0, errors.New("peer: not reachable just now")
 	}
 	if c.conn == nil {
@@ -245,8 +255,12 @@
 		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", c.addr)
 		c.mu.Lock()
 		c.dialing = false
+		c.refused = errors.Is(err, syscall.ECONNREFUSED)
 		if err != nil {
 			c.downTil = time.Now().Add(500 * time.Millisecond)
+			if c.refused {
+				return nil, 0, ErrRefused
+			}
 			return nil, 0, fmt.Errorf("peer: %w", err)
 		}
 		c.conn = conn
