While zones are apart, reports and orders go through the state service

Cause: two zones that cannot reach each other both still reach the region's services. It now writes their reports to the store, batched and packed, and hands out the orders that the leader writes back: once, in the answer to a later report, within 4 s. A start stays on its machine in the leader's mind until the node has told what became of it; DESIGN's rule that orders go in answers to reports stays.

--- a/internal/controller/apart_test.go
+++ b/internal/controller/apart_test.go
@@ -255,3 +255,203 @@
 		}
 	})
 }
+
+// far is a machine beyond the cut that reports to n1, while n0 leads.
+func (w *world) beyondTheCut() (l *links, a, b *node, gb *gate, near, far *worker) {
+	l, a, b, _, gb = w.pair("a", "b")
+	near, far = w.worker("i-1", "a", false), w.worker("i-2", "b", false)
+	near.serve(a, 3)
+	far.serve(a, 2)
+	far.serve(b, 2)
+	l.cut.Store(true)
+	for range 5 {
+		near.report(a)
+		far.report(b)
+		time.Sleep(time.Second)
+	}
+	return l, a, b, gb, near, far
+}
+
+// While the zones cannot reach each other but both reach the store, work goes
+// on beyond the cut: reports and orders go through the store.
+func TestWorkGoesOnBeyondTheCut(t *testing.T) {
+	play(t, func(w *world) {
+		l, a, b, _, near, far := w.beyondTheCut()
+		w.submit(a, spec("job-1", 12))
+		for range 8 {
+			near.report(a)
+			far.report(b)
+			time.Sleep(time.Second)
+		}
+		w.same("begun on both sides", len(near.running())+len(far.running()), 8)
+		for range 2 {
+			far.exit(api.CauseDone)
+			for range 8 {
+				near.report(a)
+				far.report(b)
+				time.Sleep(time.Second)
+			}
+		}
+		w.same("the rest ran there", len(far.running()), 0)
+		near.exit(api.CauseDone)
+		near.serve(a, 3)
+		w.same("phase", w.phase(a, "job-1"), "done")
+		w.submit(a, spec("job-2", 8))
+		for range 6 {
+			near.report(a)
+			far.report(b)
+			time.Sleep(time.Second)
+		}
+		if _, err := b.Abort(context.Background(), "job-2"); err != nil {
+			t.Error(err)
+		}
+		for range 6 {
+			near.report(a)
+			far.report(b)
+			time.Sleep(time.Second)
+		}
+		w.same("cancelled on both sides", len(near.running())+len(far.running()), 0)
+		l.cut.Store(false)
+		time.Sleep(2 * time.Second)
+		far.serve(b, 3)
+		w.submit(a, spec("job-3", 8))
+		for range 4 {
+			near.report(a)
+			far.report(b)
+			time.Sleep(time.Second)
+		}
+		w.same("after the cut", len(near.running())+len(far.running()), 8)
+	})
+}
+
+// Orders that are on their way through the store may be handed out later than
+// any report shows: until the node has told what became of them, their tasks
+// begin nowhere else.
+func TestRelayedOrdersBeginOnce(t *testing.T) {
+	play(t, func(w *world) {
+		l, a, b, _, near, far := w.beyondTheCut()
+		busy := spec("job-0", 4)
+		busy.Zone = "a"
+		w.submit(a, busy)
+		near.serve(a, 2)
+		w.submit(a, spec("job-1", 2))
+		time.Sleep(3 * time.Second) // ordered through the store, not handed out yet
+		pending := false
+		a.look(func(c *Controller) { pending = len(c.reign.down.nodes["n1"].pending) > 0 })
+		far.report(b) // hands them out, if they came by now
+		if !pending && len(far.running()) == 0 {
+			far.report(b)
+			time.Sleep(1500 * time.Millisecond)
+		}
+		// The machine also reaches the leader, with a report that shows nothing.
+		blank := far.rep
+		blank.Tasks = nil
+		blank.Seq++
+		far.rep.Seq++
+		if orders, err := far.deliver(a, &blank); err == nil {
+			far.obey(orders)
+		}
+		near.exit(api.CauseDone)
+		starts := map[string]int{}
+		for range 12 {
+			for _, o := range near.report(a) {
+				if o.Verb == api.VerbStart {
+					starts[o.Task]++
+				}
+			}
+			far.report(b)
+			time.Sleep(time.Second)
+		}
+		for _, task := range far.running() {
+			starts[task]++
+		}
+		w.same("begun once each", starts, map[string]int{"job-1/0": 1, "job-1/1": 1})
+		l.cut.Store(false)
+	})
+}
+
+// A node that is started anew has forgotten the orders it was given, and one
+// that loses the store hands out none that are old.
+func TestRelayedOrdersAreForgottenOrExpire(t *testing.T) {
+	for _, crash := range []bool{true, false} {
+		play(t, func(w *world) {
+			l, a, b, gb, near, far := w.beyondTheCut()
+			busy := spec("job-0", 4)
+			busy.Zone = "a"
+			w.submit(a, busy)
+			near.serve(a, 2)
+			w.submit(a, spec("job-1", 2))
+			given := func(c *Controller) int {
+				if m := c.up.machines["i-2"]; m != nil {
+					return len(m.orders)
+				}
+				return 0
+			}
+			n := 0
+			for i := 0; n == 0 && i < 8; i++ {
+				if i == 0 {
+					far.report(b)
+				}
+				time.Sleep(time.Second)
+				b.look(func(c *Controller) { n = max(n, given(c)) })
+			}
+			w.same("given to the node", n > 0, true)
+			if crash {
+				b.crash()
+				time.Sleep(200 * time.Millisecond)
+				b = l.add("n1", w.startWith("n1", gb, l))
+			} else {
+				time.Sleep(relayOrderLife + 2*time.Second)
+			}
+			orders, _ := far.send(b)
+			for _, o := range orders {
+				w.same("handed out late", o.Verb == api.VerbStart, false)
+			}
+			l.cut.Store(false)
+			near.exit(api.CauseDone)
+			for range 12 {
+				near.report(a)
+				far.either(a, b)
+				time.Sleep(time.Second)
+			}
+			w.same("begun once", len(near.running())+len(far.running()), 2)
+		})
+	}
+}
+
+// A node that was given orders and never comes back tells nothing more: its
+// machine is returned, and only then the tasks begin elsewhere.
+func TestRelayingNodeNeverComesBack(t *testing.T) {
+	play(t, func(w *world) {
+		_, a, b, _, near, far := w.beyondTheCut()
+		busy := spec("job-0", 4)
+		busy.Zone = "a"
+		w.submit(a, busy)
+		near.serve(a, 2)
+		w.submit(a, spec("job-1", 2))
+		pending := false
+		for i := 0; !pending && i < 40; i++ {
+			if i%5 == 0 {
+				far.report(b)
+			}
+			time.Sleep(200 * time.Millisecond)
+			a.look(func(c *Controller) { pending = len(c.reign.down.nodes["n1"].pending) > 0 })
+		}
+		w.same("ordered", pending, true)
+		b.crash()
+		near.exit(api.CauseDone)
+		for range 40 {
+			if w.cloud.gone("i-2") {
+				break
+			}
+			for _, o := range near.report(a) {
+				w.same("begun while it may begin there", o.Verb == api.VerbStart, false)
+			}
+			far.report(a)
+			time.Sleep(time.Second)
+		}
+		w.same("returned", w.cloud.gone("i-2"), true)
+		near.serve(a, 3)
+		w.same("begun", len(near.running()), 2)
+	})
+}
--- a/internal/controller/around.go
+++ b/internal/controller/around.go
@@ -18,6 +18,8 @@
 	Leader string
 	// StoreOK is for how long the state service has answered it.
 	StoreOK time.Duration
+	// Incarnation is the one under which it relays reports.
+	Incarnation string
 }
 
 // around is what a node knows of the others and of its own way to the state
@@ -153,6 +155,9 @@
 		return
 	}
 	n.Standing, n.seen = m.st, m.sent
+	if c.reign != nil {
+		c.reign.down.restarted(c.reign, m.node, m.st.Incarnation)
+	}
 	if m.node == c.leader {
 		c.keep.verify(m.node, m.st.Term, m.sent)
 	}
@@ -234,7 +239,7 @@
 
 func (m standingMsg) apply(c *Controller) {
 	now := time.Now()
-	st := Standing{Leader: c.leader}
+	st := Standing{Leader: c.leader, Incarnation: c.up.incarnation}
 	if c.valid() {
 		st.Term = c.reign.term.Number
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -67,6 +67,7 @@
 	leader string
 	reign  *reign
 	keep   keeper
+	up     relayUp
 	around around
 	// sent is when machines were sent on to the leader, past this node.
 	sent  map[string]time.Time
@@ -91,7 +92,7 @@
 	return &Controller{
 		Config: cfg, records: store.Records{Store: cfg.UserStore},
 		mail: make(chan message, 256), depose: make(chan uint64, 4), resigns: make(chan string, 4), final: final,
-		sent: map[string]time.Time{}, around: newAround(cfg.Settings.Peers, time.Now()),
+		sent: map[string]time.Time{}, up: newRelayUp(), around: newAround(cfg.Settings.Peers, time.Now()),
 	}
 }
 
@@ -118,6 +119,7 @@
 		case <-tick.C:
 			now := time.Now()
 			c.lookAround(now)
+			c.up.tick(c, now)
 			if c.reign != nil {
 				c.reign.tick(now)
 			}
--- a/internal/controller/gate.go
+++ b/internal/controller/gate.go
@@ -84,6 +84,9 @@
 		return
 	}
 	if c.passes(m, leader, now) {
+		if c.around.nodes[leader].reached(now) {
+			c.up.dropOrders(m.rep.Machine)
+		}
 		m.reply <- reportReply{passTo: leader}
 		return
 	}
@@ -97,6 +100,7 @@
 	}
 	unreached := m.unreached == leader || !c.around.nodes[leader].reached(now)
 	if ans, ok := c.keep.answer(m.rep, leader, c.keepFor(), unreached, now); ok {
+		c.up.note(c, m.rep, &ans, now)
 		m.reply <- reportReply{ans: ans}
 		return
 	}
--- a/internal/controller/keep.go
+++ b/internal/controller/keep.go
@@ -28,6 +28,8 @@
 	leader   string
 	term     uint64
 	verified time.Time
+	// mark is the version of the term key, if the store has shown it.
+	mark uint64
 	// away is set while the leader cannot be reached.
 	away bool
 	// active are the active jobs as the store last showed; nil: not known.
@@ -120,7 +122,7 @@
 	if err := json.Unmarshal(term.Value, &tv); err != nil {
 		return m, fmt.Errorf("term key: %w", err)
 	}
-	m.term = tv.Number
+	m.term, m.mark = tv.Number, term.Mark
 	for from := ""; ; {
 		p, err := c.Store.Range(ctx, store.ActivePrefix, from, 500)
 		if err != nil {
@@ -183,12 +185,13 @@
 	term   uint64
 	active map[string]bool
 	at     time.Time
+	mark   uint64
 }
 
 func (m verifiedMsg) apply(c *Controller) {
 	k := &c.keep
 	if k.leader == m.leader && k.term == m.term {
-		k.active, k.verified = m.active, m.at
+		k.active, k.verified, k.mark = m.active, m.at, m.mark
 	} else {
 		*k = keeper{} // another term has begun
 	}
--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -203,6 +203,9 @@
 	probeFails int
 	// ordering is set while orders are on their way straight to the machine.
 	ordering bool
+	// held keeps new tasks off while orders for it are on their way through the
+	// state service.
+	held bool
 	// sentOn is when the machine was last told to report to a nearer node.
 	sentOn time.Time
 	// kept is until when another node is known to keep the machine alive.
@@ -277,7 +280,7 @@
 
 // open tells whether the machine may be given tasks.
 func (m *machine) open(now time.Time) bool {
-	return m.heard && m.roster == rosterDurable && !m.draining && !m.leaving && !m.gone && m.cpus > 0 &&
+	return m.heard && m.roster == rosterDurable && !m.draining && !m.leaving && !m.gone && !m.held && m.cpus > 0 &&
 		m.reclaim.IsZero() && m.foreign == 0 && !now.Before(m.pauseUntil)
 }
 
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -50,6 +50,7 @@
 	unheardGPUs float64
 
 	confirm  confirmer
+	down     relayDown
 	recorder recorder
 	renter   renter
 	counts   counters
@@ -98,6 +99,7 @@
 		jobs: map[string]*job{}, teams: map[string]*queue.Team[*job]{},
 		machines: map[string]*machine{}, expected: map[string]*expected{}, returned: returned,
 	}
+	r.down.nodes = map[string]*relayNode{}
 	r.keptMarks = map[string]uint64{}
 	r.holders = map[string]float64{}
 	r.counts = newCounters()
@@ -350,6 +352,7 @@
 	}
 	r.recorder.flush(now)
 	r.dispatch(now)
+	r.down.tick(r, now)
 	if now.Before(r.nextScan) {
 		return
 	}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -39,27 +39,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &peer.Pong{Term: st.Term, Leader: st.Leader, StoreOkMs: uint64(st.StoreOK.Milliseconds())}, nil
+	return &peer.Pong{Term: st.Term, Leader: st.Leader, StoreOkMs: uint64(st.StoreOK.Milliseconds()), Incarnation: st.Incarnation}, nil
 }
 
 // Report implements peer.Handler.
 func (h peerHandler) Report(ctx context.Context, r *peer.Report) (*peer.ReportAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerWait)
 	defer cancel()
-	rep := &api.Report{Machine: r.Machine, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot,
-		Session: r.Session, Seq: r.Seq, Term: r.Term, NoticeS: r.NoticeS, Tasks: make([]api.TaskReport, len(r.Tasks))}
-	for i, t := range r.Tasks {
-		rep.Tasks[i] = api.TaskReport{Task: t.Task, Attempt: t.Attempt, Phase: t.Phase, Cause: t.Cause, Saved: t.Saved}
-	}
-	ans, err := h.c.PassedReport(ctx, rep)
+	ans, err := h.c.PassedReport(ctx, r.Unpack())
 	if err != nil {
 		return nil, err
 	}
-	out := &peer.ReportAnswer{Term: ans.Term, Orders: make([]*peer.Order, len(ans.Orders))}
-	for i, o := range ans.Orders {
-		out.Orders[i] = &peer.Order{Verb: o.Verb, Task: o.Task, Attempt: o.Attempt, GraceS: o.GraceS}
-	}
-	return out, nil
+	return &peer.ReportAnswer{Term: ans.Term, Orders: peer.PackOrders(ans.Orders)}, nil
 }
 
 // Resigned implements peer.Handler.
@@ -104,7 +95,8 @@
 	if err != nil {
 		return controller.Standing{}, err
 	}
-	return controller.Standing{Term: st.Term, Leader: st.Leader, StoreOK: time.Duration(st.StoreOkMs) * time.Millisecond}, nil
+	return controller.Standing{Term: st.Term, Leader: st.Leader, StoreOK: time.Duration(st.StoreOkMs) * time.Millisecond,
+		Incarnation: st.Incarnation}, nil
 }
 
 // Report implements controller.PeerAsker.
@@ -113,12 +105,7 @@
 	if cl == nil {
 		return api.ReportAnswer{}, api.ErrUnavailable
 	}
-	r := &peer.Report{Machine: rep.Machine, Addr: rep.Addr, Type: rep.Type, Zone: rep.Zone, Spot: rep.Spot,
-		Session: rep.Session, Seq: rep.Seq, Term: rep.Term, NoticeS: rep.NoticeS, Tasks: make([]*peer.TaskReport, len(rep.Tasks))}
-	for i, t := range rep.Tasks {
-		r.Tasks[i] = &peer.TaskReport{Task: t.Task, Attempt: t.Attempt, Phase: t.Phase, Cause: t.Cause, Saved: t.Saved}
-	}
-	ans, err := cl.Report(ctx, r)
+	ans, err := cl.Report(ctx, peer.PackReport(rep))
 	if errors.Is(err, peer.ErrRefused) {
 		return api.ReportAnswer{}, controller.ErrRefused
 	}
@@ -128,11 +115,7 @@
 	if err != nil {
 		return api.ReportAnswer{}, err
 	}
-	out := api.ReportAnswer{Term: ans.Term, Orders: make([]api.Order, len(ans.Orders))}
-	for i, o := range ans.Orders {
-		out.Orders[i] = api.Order{Verb: o.Verb, Task: o.Task, Attempt: o.Attempt, GraceS: o.GraceS}
-	}
-	return out, nil
+	return api.ReportAnswer{Term: ans.Term, Orders: peer.UnpackOrders(ans.Orders)}, nil
 }
 
 // Resign implements controller.PeerAsker.
--- /dev/null
+++ b/internal/peer/convert.go
@@ -0,0 +1,41 @@
+package peer
+
+import "example.org/ivytrestle/internal/api"
+
+// PackReport makes a message of a machine's report.
+func PackReport(rep *api.Report) *Report {
+	r := &Report{Machine: rep.Machine, Addr: rep.Addr, Type: rep.Type, Zone: rep.Zone, Spot: rep.Spot,
+		Session: rep.Session, Seq: rep.Seq, Term: rep.Term, NoticeS: rep.NoticeS, Tasks: make([]*TaskReport, len(rep.Tasks))}
+	for i, t := range rep.Tasks {
+		r.Tasks[i] = &TaskReport{Task: t.Task, Attempt: t.Attempt, Phase: t.Phase, Cause: t.Cause, Saved: t.Saved}
+	}
+	return r
+}
+
+// Unpack is the reverse of PackReport.
+func (r *Report) Unpack() *api.Report {
+	rep := &api.Report{Machine: r.Machine, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot,
+		Session: r.Session, Seq: r.Seq, Term: r.Term, NoticeS: r.NoticeS, Tasks: make([]api.TaskReport, len(r.Tasks))}
+	for i, t := range r.Tasks {
+		rep.Tasks[i] = api.TaskReport{Task: t.Task, Attempt: t.Attempt, Phase: t.Phase, Cause: t.Cause, Saved: t.Saved}
+	}
+	return rep
+}
+
+// PackOrders makes messages of orders.
+func PackOrders(orders []api.Order) []*Order {
+	out := make([]*Order, len(orders))
+	for i, o := range orders {
+		out[i] = &Order{Verb: o.Verb, Task: o.Task, Attempt: o.Attempt, GraceS: o.GraceS}
+	}
+	return out
+}
+
+// UnpackOrders is the reverse of PackOrders.
+func UnpackOrders(orders []*Order) []api.Order {
+	out := make([]api.Order, len(orders))
+	for i, o := range orders {
+		out[i] = api.Order{Verb: o.Verb, Task: o.Task, Attempt: o.Attempt, GraceS: o.GraceS}
+	}
+	return out
+}
--- a/internal/store/records.go
+++ b/internal/store/records.go
@@ -21,6 +21,7 @@
 	ProgressPrefix = "p/"
 	MachinePrefix  = "m/"
 	KeepPrefix     = "keep/"
+	RelayPrefix    = "relay/"
 	TypesKey       = "types"
 	// CancelKey changes in every transaction that cancels a job. It lies under
 	// ActivePrefix, so a watch shows it together with the jobs cancelled.
