--- a/internal/controller/apart_test.go
+++ b/internal/controller/apart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -455,3 +456,42 @@
 		w.same("begun", len(near.running()), 2)
 	})
 }
+
+// A machine beyond the cut that reports more often than orders take to come,
+// while work keeps coming: no order is overwritten by a later one, and none is
+// handed out to a new session.
+func TestRelayedOrdersAreNotLost(t *testing.T) {
+	play(t, func(w *world) {
+		l, a, b, _, _, far := w.beyondTheCut()
+		for i := range 60 {
+			if i < 20 {
+				w.submit(a, spec(fmt.Sprint("job-", i), 1))
+			}
+			if i%4 == 3 {
+				far.exit(api.CauseDone)
+			}
+			if i == 30 {
+				far.mu.Lock()
+				far.rep.Session++
+				far.rep.Tasks = nil
+				far.mu.Unlock()
+				orders, _ := far.send(b)
+				for _, o := range orders {
+					w.same("handed to a new session", o.Verb == api.VerbStart, false)
+				}
+			}
+			far.report(b)
+			time.Sleep(200 * time.Millisecond)
+		}
+		l.cut.Store(false)
+		for range 12 {
+			far.exit(api.CauseDone)
+			far.either(a, b)
+			time.Sleep(time.Second)
+		}
+		for i := range 20 {
+			w.same(fmt.Sprint("job ", i), w.phase(a, fmt.Sprint("job-", i)), "done")
+		}
+		w.same("machine kept", w.cloud.gone("i-2"), false)
+	})
+}
