A new leader greets the machines on the roster

The new leader now tells each machine its term by an empty order, which may come late without harm, and takes the answer for the report that it is; machines that do not answer are found sooner, too.

--- a/internal/controller/direct_test.go
+++ b/internal/controller/direct_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -53,6 +54,26 @@
 	return 0, api.ErrNotDone
 }
 
+// Greet tells a machine of a term. One that is dead does not answer.
+func (d *wire) Greet(_ context.Context, addr string, term uint64) (*api.Report, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	k := d.machines[addr]
+	if _, dead := k.w.dead.Load(addr); dead {
+		return nil, api.ErrNotDone
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.rep.Term > term {
+		return nil, api.ErrNotDone
+	}
+	k.rep.Term = term
+	k.rep.Seq++
+	rep := k.rep
+	rep.Tasks = slices.Clone(k.rep.Tasks)
+	return &rep, nil
+}
+
 func (d *wire) set(refuse, hold bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -222,8 +243,8 @@
 		w.submit(a, spec("job-1", 1))
 		time.Sleep(time.Second)
 		a.crash()
-		b := w.start("n0")
 		d.set(false, false)
+		b := w.start("n0")
 		for range 4 {
 			ks[0].report(b)
 			ks[1].report(b)
@@ -233,3 +254,54 @@
 		w.same("carried out late", d.release(), 0)
 	})
 }
+
+// A new leader greets the machines on the roster, and so hears them without
+// waiting for their reports; one that does not answer is returned, and only
+// then its tasks begin elsewhere. Orders cannot go in a greeting's answer, so
+// none are given there.
+func TestTakeoverGreetsMachines(t *testing.T) {
+	play(t, func(w *world) {
+		a, d, ks := w.seldom(40)
+		w.submit(a, spec("job-1", 8))
+		time.Sleep(2 * time.Second)
+		for _, k := range ks {
+			k.report(a)
+		}
+		var busy, idle []*worker
+		for _, k := range ks {
+			if len(k.running()) > 0 {
+				busy = append(busy, k)
+			} else {
+				idle = append(idle, k)
+			}
+		}
+		w.same("busy machines", len(busy), 2)
+		a.crash()
+		w.dead.Store(busy[0].rep.Machine, true)
+		b := w.start("n0")
+		w.submit(b, spec("job-2", 3))
+		time.Sleep(time.Second)
+		b.look(func(c *Controller) { w.same("unheard after a second", c.reign.unheard, 1) })
+		w.same("goes on", len(busy[1].running()) >= 4, true)
+		time.Sleep(4 * time.Second)
+		w.same("returned", w.cloud.gone(busy[0].rep.Machine), true)
+		for _, k := range idle {
+			k.report(b)
+		}
+		running := len(busy[1].running())
+		for _, k := range idle {
+			running += len(k.running())
+		}
+		w.same("all run", running, 11)
+		d.set(true, false) // the next job waits for reports
+		w.submit(b, spec("job-3", 1))
+		b.look(func(c *Controller) {
+			m := c.reign.machines[idle[5].rep.Machine]
+			rep := idle[5].rep
+			rep.Seq, rep.Session = m.seq+1, m.session
+			c.reign.greeting++
+			greetedMsg{c.reign, m, &rep, nil}.apply(c)
+			w.same("given in a greeting", len(m.attempts), 0)
+		})
+	})
+}
--- /dev/null
+++ b/internal/controller/greet.go
@@ -0,0 +1,77 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+)
+
+// A takeover waits until every machine on the roster has reported with the new
+// term. Waiting for their reports takes a round and a half of them; so the new
+// leader greets the machines itself, a few at a time. A greeting carries no
+// orders: it may come late, or twice, and only raises the machine's token. Its
+// answer is the machine's report, with this term.
+
+// maxGreetings bounds the sockets in use for greetings.
+const maxGreetings = 24
+
+// greetNext greets the machines that are still to be greeted.
+func (r *reign) greetNext(now time.Time) {
+	for len(r.toGreet) > 0 && r.greeting < maxGreetings {
+		m := r.toGreet[0]
+		r.toGreet = r.toGreet[1:]
+		if m.heard || m.gone || m.returning || m.addr == "" {
+			continue
+		}
+		r.greet(m, now)
+	}
+}
+
+// greet greets a machine. One that does not answer is asked again like any
+// silent machine.
+func (r *reign) greet(m *machine, now time.Time) {
+	r.greeting++
+	m.nextProbe = now.Add(unheardEvery)
+	addr, term := m.addr, r.term.Number
+	go func() {
+		ctx, cancel := context.WithTimeout(r.ctx, unheardTimeout)
+		defer cancel()
+		rep, err := r.c.Director.Greet(ctx, addr, term)
+		r.post(greetedMsg{r, m, rep, err})
+	}()
+}
+
+type greetedMsg struct {
+	r   *reign
+	m   *machine
+	rep *api.Report
+	err error
+}
+
+func (g greetedMsg) apply(c *Controller) {
+	r := g.r
+	if c.reign != r {
+		return
+	}
+	r.greeting--
+	now := time.Now()
+	switch {
+	case g.m.gone:
+	case g.err != nil:
+		c.Log.Debug("greeting", "machine", g.m.name, "err", g.err)
+		if !g.m.heard {
+			g.m.probeFails++
+		}
+	case c.valid() && g.rep.Machine == g.m.name:
+		// There is no answer in which orders could go.
+		g.m.held = true
+		if _, err := r.report(g.rep, now); err != nil {
+			c.Log.Debug("greeting", "machine", g.m.name, "err", err)
+		}
+		g.m.held, g.m.asked = false, nil
+	}
+	if c.reign == r {
+		r.greetNext(now)
+	}
+}
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -72,6 +72,9 @@
 	// listening is since when this node can hear its machines.
 	listening time.Time
 	probing   int
+	// toGreet are the machines that a new leader has yet to greet.
+	toGreet  []*machine
+	greeting int
 	// What other nodes keep alive was last read at keptRead, at keptMarks.
 	keptRead  time.Time
 	keptMarks map[string]uint64
--- a/internal/controller/silence.go
+++ b/internal/controller/silence.go
@@ -93,6 +93,12 @@
 	if now.Before(m.nextProbe) || r.probing >= maxProbes {
 		return
 	}
+	if !m.heard && r.c.Director != nil && m.addr != "" {
+		if r.greeting < maxGreetings {
+			r.greet(m, now)
+		}
+		return
+	}
 	every, timeout := probeEvery, probeTimeout
 	if !m.heard {
 		every, timeout = unheardEvery, unheardTimeout
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -103,11 +103,15 @@
 		mc.addr = rec.Addr
 		mc.cpus, mc.gpus, mc.memory = rec.CPUs, rec.GPUs, rec.MemoryGB
 		mc.roster = rosterDurable
+		r.toGreet = append(r.toGreet, mc)
 		r.unheard++
 		r.unheardCPUs += mc.cpus
 		r.unheardGPUs += mc.gpus
 	}
 	r.loaded, r.listening = true, now
+	if c.Director != nil {
+		r.greetNext(now)
+	}
 	c.Log.Info("takeover: read", "term", r.term.Number, "jobs", len(r.jobs), "machines", r.unheard)
 }
 
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -51,16 +52,34 @@
 
 const maxAnswer = 1 << 20
 
-// Order brings orders to a machine, once. It returns the number of the report
-// that shows them carried out.
-func (c *Client) Order(ctx context.Context, addr string, orders *api.DirectOrders) (seq uint64, err error) {
+// Greet tells a machine of a term, and returns the report that shows that it
+// has heard. It carries no orders, so it may come at any time.
+func (c *Client) Greet(ctx context.Context, addr string, term uint64) (*api.Report, error) {
+	session := uint64(1) // most machines have never lost theirs
+	for range 2 {
+		rep, status, err := c.post(ctx, addr, &api.DirectOrders{Term: term, Session: session, Orders: []api.Order{}})
+		switch {
+		case err != nil:
+			return nil, fmt.Errorf("greet: %w", err)
+		case status == http.StatusOK:
+			return rep, nil
+		case status != http.StatusConflict || rep.Term > term || rep.Session == session:
+			return nil, fmt.Errorf("greet: status %d, term %d", status, rep.Term)
+		}
+		session = rep.Session
+	}
+	return nil, errors.New("greet: the session changes")
+}
+
+// post sends orders, and returns the report that answers them.
+func (c *Client) post(ctx context.Context, addr string, orders *api.DirectOrders) (*api.Report, int, error) {
 	raw, err := json.Marshal(orders)
 	if err != nil {
-		return 0, fmt.Errorf("%w: %w", api.ErrNotDone, err)
+		return nil, 0, fmt.Errorf("%w: %w", api.ErrNotDone, err)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/orders", bytes.NewReader(raw))
 	if err != nil {
-		return 0, fmt.Errorf("%w: %w", api.ErrNotDone, err)
+		return nil, 0, fmt.Errorf("%w: %w", api.ErrNotDone, err)
 	}
 	req.GetBody = nil // never sent twice
 	// Without a connection nothing was sent, and an attempt to connect that
@@ -70,20 +89,29 @@
 	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		if !connected {
-			return 0, fmt.Errorf("%w: %w", api.ErrNotDone, err)
+			return nil, 0, fmt.Errorf("%w: %w", api.ErrNotDone, err)
 		}
-		return 0, fmt.Errorf("%w: %w", api.ErrUnsure, err)
+		return nil, 0, fmt.Errorf("%w: %w", api.ErrUnsure, err)
 	}
 	defer resp.Body.Close()
 	var rep api.Report
-	switch resp.StatusCode {
-	case http.StatusConflict, http.StatusBadRequest:
-		return 0, fmt.Errorf("%w: status %d", api.ErrNotDone, resp.StatusCode)
-	case http.StatusOK:
-		if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&rep); err != nil {
-			return 0, fmt.Errorf("%w: %w", api.ErrUnsure, err)
-		}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&rep); err != nil && resp.StatusCode == http.StatusOK {
+		return nil, 0, fmt.Errorf("%w: %w", api.ErrUnsure, err)
+	}
+	return &rep, resp.StatusCode, nil
+}
+
+// Order brings orders to a machine, once. It returns the number of the report
+// that shows them carried out.
+func (c *Client) Order(ctx context.Context, addr string, orders *api.DirectOrders) (seq uint64, err error) {
+	rep, status, err := c.post(ctx, addr, orders)
+	switch {
+	case err != nil:
+		return 0, err
+	case status == http.StatusOK:
 		return rep.Seq, nil
+	case status == http.StatusConflict || status == http.StatusBadRequest:
+		return 0, fmt.Errorf("%w: status %d", api.ErrNotDone, status)
 	}
-	return 0, fmt.Errorf("%w: status %d", api.ErrUnsure, resp.StatusCode)
+	return 0, fmt.Errorf("%w: status %d", api.ErrUnsure, status)
 }
