--- a/internal/controller/direct_test.go
+++ b/internal/controller/direct_test.go
@@ -295,6 +295,7 @@
 		w.same("all run", running, 11)
 		d.set(true, false) // the next job waits for reports
 		w.submit(b, spec("job-3", 1))
+		time.Sleep(4 * time.Second)
 		b.look(func(c *Controller) {
 			m := c.reign.machines[idle[5].rep.Machine]
 			rep := idle[5].rep
