--- a/internal/controller/apart_test.go
+++ b/internal/controller/apart_test.go
@@ -495,3 +495,38 @@
 		w.same("machine kept", w.cloud.gone("i-2"), false)
 	})
 }
+
+// During a cut the leader is started anew, and then the node beyond the cut:
+// the machines there keep their tasks, learn the new term, and are heard
+// through the store.
+func TestRestartsDuringACut(t *testing.T) {
+	play(t, func(w *world) {
+		l, a, b, gb, near, far := w.beyondTheCut()
+		w.submit(a, spec("job-1", 8))
+		round := func(n int) {
+			for range n {
+				near.report(a)
+				far.report(b)
+				time.Sleep(time.Second)
+			}
+		}
+		round(8)
+		w.same("begun", len(near.running())+len(far.running()), 8)
+		term := far.rep.Term
+		a.crash()
+		time.Sleep(200 * time.Millisecond)
+		a = l.add("n0", w.startWith("n0", w.store, l))
+		round(8)
+		w.same("new term beyond the cut", far.rep.Term > term, true)
+		w.same("kept", len(far.running()), 4)
+		b.crash()
+		time.Sleep(200 * time.Millisecond)
+		b = l.add("n1", w.startWith("n1", gb, l))
+		time.Sleep(4 * time.Second)
+		round(4)
+		if _, err := far.send(b); err != nil {
+			t.Errorf("not kept alive by the node started anew: %v", err)
+		}
+		w.same("kept again", len(far.running()), 4)
+	})
+}
--- a/internal/controller/keep.go
+++ b/internal/controller/keep.go
@@ -38,6 +38,9 @@
 }
 
 const (
+	// justShown is how recently the store must have shown a term for machines
+	// to be told of it.
+	justShown = 5 * time.Second
 	// keptFor is how long the leader relies on what another node published.
 	keptFor = 8 * time.Second
 	// keepMargin is kept back of the time that a cancellation has: the leader
@@ -53,7 +56,7 @@
 
 // answer answers a report in the leader's stead, if this node may.
 func (k *keeper) answer(rep *api.Report, leader string, keepFor time.Duration, unreached bool, now time.Time) (api.ReportAnswer, bool) {
-	if !(k.away || unreached) || leader == "" || leader != k.leader || now.Sub(k.verified) > keepFor || rep.Term != k.term || k.term == 0 {
+	if !(k.away || unreached) || leader == "" || leader != k.leader || now.Sub(k.verified) > keepFor || k.term == 0 || !k.mayTell(rep.Term, now) {
 		return api.ReportAnswer{}, false
 	}
 	ans := api.ReportAnswer{Term: k.term, Orders: []api.Order{}}
@@ -71,6 +74,14 @@
 	return ans, true
 }
 
+// mayTell tells whether a machine may be answered in the present term. One that
+// has not heard of it learns it here, if the store has just shown it: the new
+// leader, out of its reach, takes it for unheard until its next report arrives
+// through the store.
+func (k *keeper) mayTell(term uint64, now time.Time) bool {
+	return term == k.term || (term < k.term && k.active != nil && now.Sub(k.verified) < justShown)
+}
+
 // verify takes in the leader's answer to a ping.
 func (k *keeper) verify(leader string, term uint64, at time.Time) {
 	*k = keeper{leader: leader, term: term, verified: at}
@@ -190,11 +201,14 @@
 
 func (m verifiedMsg) apply(c *Controller) {
 	k := &c.keep
-	if k.leader == m.leader && k.term == m.term {
-		k.active, k.verified, k.mark = m.active, m.at, m.mark
-	} else {
-		*k = keeper{} // another term has begun
+	if m.leader != c.leader {
+		return
+	}
+	if k.leader != m.leader || k.term != m.term {
+		// Another term has begun, or this node was started anew beyond a cut.
+		*k = keeper{leader: m.leader, term: m.term, away: true}
 	}
+	k.active, k.verified, k.mark = m.active, m.at, m.mark
 }
 
 // readKept reads which machines other nodes keep alive, every few seconds.
--- a/internal/controller/silence.go
+++ b/internal/controller/silence.go
@@ -70,12 +70,13 @@
 			why = "deaf"
 		}
 		switch silent := now.Sub(m.lastSeen); {
-		case now.Before(m.kept):
-			continue
 		case !m.heard && now.Sub(r.listening) > w.Lease()+2*w.Report():
 			// It holds every earlier job back. A deaf one shows the old token
 			// in report after report and may even answer probes, but its
-			// lease has ended by now.
+			// lease has ended by now. One that another node keeps alive would
+			// have been heard through the store.
+		case now.Before(m.kept):
+			continue
 		case silent > w.Lease()+2*w.Report() && !cut:
 		case silent > config.Seconds(w.CancelS):
 		case m.probeFails >= deadAfter && !cut:
