--- /dev/null
+++ b/internal/controller/bench_test.go
@@ -0,0 +1,100 @@
+package controller
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/config"
+	"example.org/ivytrestle/internal/election"
+	"example.org/ivytrestle/internal/policy"
+	"example.org/ivytrestle/internal/store"
+	"example.org/ivytrestle/internal/store/storetest"
+)
+
+// full is a leader whose machines are all busy, with jobs that wait.
+func full(b *testing.B, machines, jobs int) (*reign, []*api.Report) {
+	b.Helper()
+	pol, err := policy.Parse("", "")
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := &config.Settings{Node: "n0", Site: config.SiteInfo{
+		Teams:   []config.Team{{Name: "red", CPUs: 1e4, CPUsMax: 1e5}, {Name: "blue", CPUs: 1e4, CPUsMax: 1e5}},
+		Workers: config.Workers{ReportS: 1, LeaseS: 10, CancelS: 30},
+		State:   config.StateLimits{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12}}}
+	c := New(Config{Settings: s, Policy: pol, Store: storetest.New(), Cloud: &fakeCloud{}, Log: slog.New(slog.DiscardHandler)})
+	c.types.set([]api.MachineType{{Name: "small", CPUs: 16, MemoryGB: 64, Price: 1, Zones: []string{"a"}}})
+	now := time.Now()
+	r := newReign(c, election.Term{Number: 1, Mark: 1}, now.Add(time.Hour))
+	r.cancel() // nothing of it runs by itself
+	r.loaded, c.reign = true, r
+	for i := range jobs {
+		sp := spec(fmt.Sprint("job-", i), 100)
+		sp.Team = []string{"red", "blue"}[i%2]
+		r.addRecord(store.ActivePrefix+sp.ID, store.ActiveRecord{Spec: *sp, Accepted: now}, uint64(i+2))
+	}
+	reports := make([]*api.Report, machines)
+	for i := range reports {
+		k := &worker{rep: api.Report{Machine: fmt.Sprint("i-", i), Addr: "x", Type: "small", Zone: "a", Session: 1, Term: 1}}
+		m := r.addMachine(k.rep.Machine, "small", "a", false, now)
+		m.heard, m.roster = true, rosterDurable
+		for range 3 {
+			k.rep.Seq++
+			ans, err := r.report(&k.rep, now.Add(time.Minute))
+			if err != nil {
+				b.Fatal(err)
+			}
+			k.carryOut(ans.Orders)
+		}
+		reports[i] = &k.rep
+	}
+	return r, reports
+}
+
+// The cost of a report should depend on what it changes, not on how many
+// machines and jobs there are.
+func BenchmarkReport(b *testing.B) {
+	for _, n := range []struct{ machines, jobs int }{{25, 40}, {200, 40}, {200, 400}} {
+		b.Run(fmt.Sprintf("machines=%d/jobs=%d", n.machines, n.jobs), func(b *testing.B) {
+			r, reports := full(b, n.machines, n.jobs)
+			now := time.Now().Add(2 * time.Minute)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				rep := reports[i%len(reports)]
+				rep.Seq++
+				if _, err := r.report(rep, now); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// One task ends and another begins in its place.
+func BenchmarkPull(b *testing.B) {
+	for _, n := range []struct{ machines, jobs int }{{25, 40}, {200, 40}, {200, 400}} {
+		b.Run(fmt.Sprintf("machines=%d/jobs=%d", n.machines, n.jobs), func(b *testing.B) {
+			r, reports := full(b, n.machines, n.jobs)
+			now := time.Now().Add(2 * time.Minute)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				rep := reports[i%len(reports)]
+				rep.Seq++
+				rep.Tasks[0].Phase, rep.Tasks[0].Cause = api.TaskExited, api.CauseHalted
+				ans, err := r.report(rep, now)
+				if err != nil {
+					b.Fatal(err)
+				}
+				rep.Tasks = rep.Tasks[1:]
+				for _, o := range ans.Orders {
+					if o.Verb == api.VerbStart {
+						rep.Tasks = append(rep.Tasks, api.TaskReport{Task: o.Task, Attempt: o.Attempt, Phase: api.TaskRunning})
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -215,8 +215,12 @@
 	reclaim time.Time
 
 	attempts map[attemptKey]*attempt
-	foreign  int
-	images   imageCache
+	// foreign counts tasks whose team is not known; foreignHeld is what the
+	// machine adds to foreignSum for them.
+	foreign     int
+	foreignHeld float64
+	foreignSum  *float64
+	images      imageCache
 	// fetching are the images that tasks on the machine wait for.
 	fetching map[string]bool
 
@@ -284,11 +288,23 @@
 		m.reclaim.IsZero() && m.foreign == 0 && !now.Before(m.pauseUntil)
 }
 
+// countForeign counts tasks whose team is not known, and keeps the sum of the
+// capacity that they may use.
+func (m *machine) countForeign(n int) {
+	m.foreign += n
+	held := 0.0
+	if m.foreign > 0 {
+		held = m.cpus
+	}
+	*m.foreignSum += held - m.foreignHeld
+	m.foreignHeld = held
+}
+
 // charge adds an attempt's resources to its machine, team and job, or takes
 // them off again with sign -1.
 func (a *attempt) charge(sign float64) {
 	if a.job == nil {
-		a.machine.foreign += int(sign)
+		a.machine.countForeign(int(sign))
 		return
 	}
 	s, m, t := &a.job.spec, a.machine, a.job.team
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -48,6 +48,9 @@
 	unheard     int
 	unheardCPUs float64
 	unheardGPUs float64
+	// foreignCPUs is the whole capacity of machines that hold tasks of jobs
+	// that are over: whose team they count for is not known.
+	foreignCPUs float64
 
 	confirm  confirmer
 	down     relayDown
@@ -251,6 +254,11 @@
 		r.c.Log.Error("job record", "key", key, "err", err)
 		return
 	}
+	r.addRecord(key, rec, mark)
+}
+
+func (r *reign) addRecord(key string, rec store.ActiveRecord, mark uint64) {
+	id := rec.Spec.ID
 	team := r.teams[rec.Spec.Team]
 	if team == nil || rec.Spec.Tasks < 1 {
 		r.c.Log.Error("job record", "key", key, "team", rec.Spec.Team, "tasks", rec.Spec.Tasks)
@@ -499,7 +507,7 @@
 }
 
 func (r *reign) addMachine(name, typ, zone string, spot bool, now time.Time) *machine {
-	m := &machine{name: name, typ: typ, zone: zone, spot: spot, lastSeen: now, since: now, idle: now,
+	m := &machine{name: name, foreignSum: &r.foreignCPUs, typ: typ, zone: zone, spot: spot, lastSeen: now, since: now, idle: now,
 		attempts: map[attemptKey]*attempt{}, errorJobs: map[string]int{}}
 	if mt, ok := r.c.types.load()[typ]; ok {
 		m.cpus, m.gpus, m.memory = mt.CPUs, mt.GPUs, mt.MemoryGB
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -457,7 +457,7 @@
 		return false
 	case !m.fits(s) || !typeAllowed(s, m.typ) || (s.Zone != "" && s.Zone != m.zone) || (m.spot && !s.Spot):
 		return false
-	case !j.team.Allowed(s.CPUs, s.GPUs, r.unheardCPUs+r.foreignCPUs(), r.unheardGPUs):
+	case !j.team.Allowed(s.CPUs, s.GPUs, r.unheardCPUs+r.foreignCPUs, r.unheardGPUs):
 		return false
 	case j.errors[m.name] >= 2 || j.onlyBarred(m) || !(m.canFetch(s.Image, r.fetches) || r.quickFetch(j, m)):
 		return false
@@ -530,15 +530,3 @@
 	}
 	return n >= j.flight.Untaken()
 }
-
-// foreignCPUs is the whole capacity of machines that hold tasks of jobs that
-// are over: whose team they count for is not known.
-func (r *reign) foreignCPUs() float64 {
-	sum := 0.0
-	for _, m := range r.machines {
-		if m.foreign > 0 {
-			sum += m.cpus
-		}
-	}
-	return sum
-}
