--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,7 +67,7 @@
 		apiLn.Close()
 		return fmt.Errorf("peers: %w", err)
 	}
-	st := store.NewClient(s.Outside.State, s.Site.State, len(s.Peers)+1)
+	st := store.NewClient(s.Outside.State, s.Site.State)
 	peers := newPeers(s.Peers)
 	machines := worker.NewClient()
 	c := controller.New(controller.Config{
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -119,8 +119,9 @@
 
 // The limits are the service's, shared by all nodes. One node may use nodeShare
 // of the requests, since the leader needs most. Of the writes, RecordShare is for
-// the leader's records, and the rest is the nodes' in equal parts, for what
-// users wait for.
+// the leader's records, and the rest for what users wait for. Any node may use
+// all of it: users come in bursts and to one node rather than another, and what
+// the service refuses beyond its rate is tried again soon.
 const (
 	nodeShare   = 0.45
 	RecordShare = 0.4
@@ -128,8 +129,8 @@
 	leastBurst = 8
 )
 
-// NewClient makes the client of a state service that some nodes share.
-func NewClient(addr string, lim config.StateLimits, nodes int) *Client {
+// NewClient makes the client of a state service.
+func NewClient(addr string, lim config.StateLimits) *Client {
 	transport := func(conns int) *http.Client {
 		return &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
@@ -139,7 +140,7 @@
 			DisableCompression:  true,
 		}}
 	}
-	rps, wps := lim.RPS*nodeShare, lim.WriteRPS*(1-RecordShare)/float64(max(nodes, 1))
+	rps, wps := lim.RPS*nodeShare, lim.WriteRPS*(1-RecordShare)
 	return &Client{
 		base: "http://" + addr, http: transport(12), watches: transport(4),
 		requests: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
