--- a/internal/controller/greet.go
+++ b/internal/controller/greet.go
@@ -32,10 +32,10 @@
 // silent machine.
 func (r *reign) greet(m *machine, now time.Time) {
 	r.greeting++
-	m.nextProbe = now.Add(unheardEvery)
+	m.nextProbe = now.Add(probeEvery)
 	addr, term := m.addr, r.term.Number
 	go func() {
-		ctx, cancel := context.WithTimeout(r.ctx, unheardTimeout)
+		ctx, cancel := context.WithTimeout(r.ctx, probeTimeout)
 		defer cancel()
 		rep, err := r.c.Director.Greet(ctx, addr, term)
 		r.post(greetedMsg{r, m, rep, err})
--- a/internal/controller/silence.go
+++ b/internal/controller/silence.go
@@ -13,11 +13,8 @@
 }
 
 const (
-	probeTimeout = 1500 * time.Millisecond
-	probeEvery   = 2 * time.Second
-	// A takeover waits for the machines not heard, so they are asked faster.
-	unheardTimeout = time.Second
-	unheardEvery   = time.Second
+	probeTimeout = time.Second
+	probeEvery   = time.Second
 	// deadAfter is how many probes in a row must fail.
 	deadAfter = 2
 	// deafAfter is how many times in a row a machine may carry out no orders
@@ -100,11 +97,7 @@
 		}
 		return
 	}
-	every, timeout := probeEvery, probeTimeout
-	if !m.heard {
-		every, timeout = unheardEvery, unheardTimeout
-	}
-	m.nextProbe = now.Add(every)
+	m.nextProbe = now.Add(probeEvery)
 	p := r.c.Prober
 	if p == nil || m.addr == "" {
 		m.probeFails++
@@ -113,7 +106,7 @@
 	r.probing++
 	addr := m.addr // the machine is the owner's
 	go func() {
-		ctx, cancel := context.WithTimeout(r.ctx, timeout)
+		ctx, cancel := context.WithTimeout(r.ctx, probeTimeout)
 		defer cancel()
 		r.post(probedMsg{r, m, now, p.Probe(ctx, addr)})
 	}()
