--- /dev/null
+++ b/internal/controller/relaydown.go
@@ -0,0 +1,253 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/peer"
+	"example.org/ivytrestle/internal/relay"
+	"example.org/ivytrestle/internal/store"
+)
+
+// relayDown is the leader's side.
+type relayDown struct {
+	nodes map[string]*relayNode
+	next  time.Time
+}
+
+// relayNode is one node that relays reports.
+type relayNode struct {
+	incarnation string
+	// seen is the last batch of its reports, batch the last of orders, and
+	// got whether it has taken that in.
+	seen, batch, got uint64
+	last             []relay.Part
+	busy             bool
+	// pending are the machines whose orders have no outcome yet.
+	pending map[string]*relayedOrders
+}
+
+type relayedOrders struct {
+	base   uint64
+	since  time.Time
+	starts []*attempt
+}
+
+// tick reads what nodes out of reach have written.
+func (d *relayDown) tick(r *reign, now time.Time) {
+	if now.Before(d.next) {
+		return
+	}
+	d.next = now.Add(relayEvery / 2)
+	for name, n := range r.c.around.nodes {
+		node := d.nodes[name]
+		if node == nil {
+			node = &relayNode{pending: map[string]*relayedOrders{}}
+			d.nodes[name] = node
+		}
+		node.giveUp(r, now)
+		if node.busy || !(n.lost() || len(node.pending) > 0) {
+			continue
+		}
+		node.busy = true
+		go func() {
+			ctx, cancel := context.WithTimeout(r.ctx, relayWait)
+			defer cancel()
+			up, err := readUp(ctx, r.c.Store, store.RelayPrefix+name+"/up/")
+			if err != nil {
+				r.c.Log.Debug("relayed reports not read", "node", name, "err", err)
+			}
+			r.post(relayReadMsg{r, name, up})
+		}()
+	}
+}
+
+// restarted takes in under which incarnation a node is seen. One that was
+// started anew hands nothing out that it was given before: the next reports
+// decide.
+func (d *relayDown) restarted(r *reign, name, incarnation string) {
+	node := d.nodes[name]
+	if node == nil || incarnation == "" || node.incarnation == incarnation {
+		return
+	}
+	for machine, p := range node.pending {
+		p.settled(r, 1)
+		delete(node.pending, machine)
+	}
+}
+
+// giveUp bounds how long a machine is held for a node that tells nothing any
+// more: it gets no more work, and its return settles what became of its orders.
+func (n *relayNode) giveUp(r *reign, now time.Time) {
+	for name, p := range n.pending {
+		if now.Sub(p.since) < outcomeWithin {
+			continue
+		}
+		delete(n.pending, name)
+		for _, a := range p.starts {
+			if a.direct.waiting = false; a.seen == 0 && a.machine.attempts[a.key] == a {
+				a.direct.unsure = true
+				r.leave(a.machine, "order unanswered")
+				if a.job.over {
+					r.settleUnsure(a)
+				}
+			}
+		}
+	}
+}
+
+func readUp(ctx context.Context, st store.Service, prefix string) (*peer.RelayUp, error) {
+	page, err := st.Range(ctx, prefix, "", 2*relayParts)
+	if err != nil || len(page.Rows) == 0 {
+		return nil, err
+	}
+	var parts []relay.Part
+	for _, e := range page.Rows {
+		var p relay.Part
+		if err := json.Unmarshal(e.Value, &p); err != nil || !strings.HasPrefix(e.Key, prefix) {
+			return nil, fmt.Errorf("relay: record %s: %w", e.Key, err)
+		}
+		parts = append(parts, p)
+	}
+	var up peer.RelayUp
+	if err := relay.Unpack(parts, &up); err != nil {
+		return nil, err
+	}
+	return &up, nil
+}
+
+// relayReadMsg brings what a node has written; nil: nothing.
+type relayReadMsg struct {
+	r    *reign
+	node string
+	up   *peer.RelayUp
+}
+
+func (m relayReadMsg) apply(c *Controller) {
+	r := m.r
+	if c.reign != r {
+		return
+	}
+	node := r.down.nodes[m.node]
+	node.busy = false
+	up := m.up
+	if up == nil || up.Term != r.term.Number || !c.valid() || !r.loaded {
+		return
+	}
+	if r.down.restarted(r, m.node, up.Incarnation); node.incarnation != up.Incarnation {
+		*node = relayNode{incarnation: up.Incarnation, batch: up.Got, pending: map[string]*relayedOrders{}}
+	}
+	if up.Batch <= node.seen {
+		return
+	}
+	node.seen, node.got = up.Batch, up.Got
+	for _, o := range up.Outcomes {
+		if p := node.pending[o.Machine]; p != nil && p.base == o.Base {
+			p.settled(r, o.Handed)
+			delete(node.pending, o.Machine)
+		}
+	}
+	now := time.Now()
+	answer := &peer.RelayDown{Term: r.term.Number, Incarnation: node.incarnation, Seen: node.seen}
+	confirmed := node.got == node.batch
+	for _, rep := range up.Reports {
+		r.relayedReport(node, rep.Unpack(), answer, confirmed, now)
+	}
+	if confirmed {
+		node.batch++
+	}
+	answer.Batch = node.batch
+	r.writeDown(m.node, node, answer, confirmed)
+}
+
+// relayedReport takes a relayed report in and adds its orders to the answer.
+func (r *reign) relayedReport(node *relayNode, rep *api.Report, answer *peer.RelayDown, confirmed bool, now time.Time) {
+	mc := r.machines[rep.Machine]
+	hold := !confirmed || node.pending[rep.Machine] != nil
+	if mc != nil {
+		mc.held = hold
+	}
+	ans, err := r.report(rep, now)
+	if mc = r.machines[rep.Machine]; mc == nil {
+		return
+	}
+	mc.held, mc.asked = false, nil
+	if err != nil || hold || len(ans.Orders) == 0 || mc.seq != rep.Seq {
+		return
+	}
+	p := &relayedOrders{base: rep.Seq, since: now}
+	for _, o := range ans.Orders {
+		if a := mc.attempts[attemptKey{o.Task, o.Attempt}]; a != nil && o.Verb == api.VerbStart {
+			a.direct = &directStart{session: rep.Session, waiting: true}
+			p.starts = append(p.starts, a)
+		}
+	}
+	node.pending[rep.Machine] = p
+	answer.Orders = append(answer.Orders, &peer.RelayOrders{Machine: rep.Machine, Session: rep.Session, Base: rep.Seq, Orders: peer.PackOrders(ans.Orders)})
+}
+
+// settled takes in what became of orders: handed is the report in whose answer
+// they were handed out, or 0.
+func (p *relayedOrders) settled(r *reign, handed uint64) {
+	for _, a := range p.starts {
+		a.direct.waiting = false
+		if handed > 0 {
+			a.direct.seq = handed + 1
+		} else if a.seen == 0 && a.machine.attempts[a.key] == a {
+			r.offMachine(a)
+		}
+	}
+}
+
+// writeDown writes the answer. What does not fit the record is taken back.
+func (r *reign) writeDown(name string, node *relayNode, answer *peer.RelayDown, fresh bool) {
+	size := int(r.c.Settings.Site.State.ValueKB * 1024)
+	if fresh {
+		parts, err := relay.Pack(answer, answer.Batch, 1, size)
+		for errors.Is(err, relay.ErrTooLarge) && len(answer.Orders) > 0 {
+			cut := answer.Orders[len(answer.Orders)*3/4:]
+			answer.Orders = answer.Orders[:len(answer.Orders)*3/4]
+			for _, o := range cut {
+				node.pending[o.Machine].settled(r, 0)
+				delete(node.pending, o.Machine)
+			}
+			parts, err = relay.Pack(answer, answer.Batch, 1, size)
+		}
+		if err != nil {
+			r.c.Log.Error("relay", "err", err)
+			return
+		}
+		node.last = parts
+	}
+	if len(node.last) == 0 {
+		return
+	}
+	// Until it is confirmed the same batch is written again.
+	txn := store.Txn{Records: true, Guards: []store.Guard{r.termGuard()},
+		Ops: []store.Op{{Put: store.RelayPrefix + name + "/down", Value: node.last[0]}}}
+	node.busy = true
+	go func() {
+		ctx, cancel := context.WithTimeout(r.ctx, relayWait)
+		defer cancel()
+		if _, err := r.c.Store.Txn(ctx, txn); err != nil {
+			r.c.Log.Debug("relayed orders not written", "err", err)
+		}
+		r.post(relayWrittenMsg{r, name})
+	}()
+}
+
+type relayWrittenMsg struct {
+	r    *reign
+	node string
+}
+
+func (m relayWrittenMsg) apply(c *Controller) {
+	if c.reign == m.r {
+		m.r.down.nodes[m.node].busy = false
+	}
+}
