--- a/internal/controller/apart_test.go
+++ b/internal/controller/apart_test.go
@@ -228,13 +228,19 @@
 	})
 }
 
-// When only the connections between the nodes are refused, machines of the
-// other zone go to the leader themselves. One that comes back, because it
-// cannot reach the leader either, is kept alive.
+// When only the connections between the nodes are refused, machines go to the
+// leader themselves, those of its own zone, too. One that comes back, because
+// it cannot reach the leader either, is kept alive.
 func TestConnectionsBetweenNodesRefused(t *testing.T) {
+	refusedBetweenNodes(t, "b", 1)
+	// Before the refusal is noticed it is sent there in any case.
+	refusedBetweenNodes(t, "a", 2)
+}
+
+func refusedBetweenNodes(t *testing.T, zone string, times int) {
 	play(t, func(w *world) {
 		l, a, b, _, _ := w.pair("a", "b")
-		far := w.worker("i-2", "b", false)
+		far := w.worker("i-2", zone, false)
 		far.serve(a, 3)
 		far.serve(b, 3)
 		l.refuse.Store(true)
@@ -250,7 +256,7 @@
 			}
 			time.Sleep(time.Second)
 		}
-		w.same("sent on once", sentOn, 1)
+		w.same("sent on", sentOn, times)
 		if _, err := far.send(a); err != nil {
 			t.Errorf("the leader sent it back: %v", err)
 		}
--- a/internal/controller/around.go
+++ b/internal/controller/around.go
@@ -39,6 +39,8 @@
 	zone   string
 	seen   time.Time
 	failed int
+	// refused is set if it refuses connections from here.
+	refused bool
 }
 
 func newAround(peers []config.Peer, now time.Time) around {
@@ -129,7 +131,7 @@
 		if err == nil || errors.Is(err, api.ErrUnavailable) {
 			failed = 0
 		}
-		if c.send(ctx, peerMsg{node, st, sent, failed}) != nil {
+		if c.send(ctx, peerMsg{node, st, sent, failed, errors.Is(err, ErrRefused)}) != nil {
 			return
 		}
 		if failed >= unreachedAfter {
@@ -144,6 +146,8 @@
 	st     Standing
 	sent   time.Time
 	failed int
+	// refused is set if the connection was refused.
+	refused bool
 }
 
 func (m peerMsg) apply(c *Controller) {
@@ -151,6 +155,7 @@
 	if n == nil {
 		return
 	}
+	n.refused = m.refused
 	if n.failed = m.failed; m.failed > 0 {
 		return
 	}
--- a/internal/controller/gate.go
+++ b/internal/controller/gate.go
@@ -90,7 +90,7 @@
 		m.reply <- reportReply{passTo: leader}
 		return
 	}
-	if m.refused && c.around.nodes[leader].lost() {
+	if n := c.around.nodes[leader]; n.lost() && (m.refused || n.refused) && c.mayBeReached(m.rep.Machine, now) {
 		// Only the connections between the nodes are refused, or the leader
 		// restarts: the machine may well reach it itself. By now that knows,
 		// too, not to send it back here.
--- a/internal/controller/rules_test.go
+++ b/internal/controller/rules_test.go
@@ -689,6 +689,9 @@
 func (l *links) Ping(ctx context.Context, name string) (Standing, error) {
 	n, err := l.to(name)
 	if err != nil {
+		if l.refuse.Load() {
+			err = ErrRefused
+		}
 		return Standing{}, err
 	}
 	return n.Standing(ctx)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -92,6 +92,9 @@
 		return controller.Standing{}, api.ErrUnavailable
 	}
 	st, err := cl.Ping(ctx)
+	if errors.Is(err, peer.ErrRefused) {
+		err = controller.ErrRefused
+	}
 	if err != nil {
 		return controller.Standing{}, err
 	}
