--- a/internal/controller/images.go
+++ b/internal/controller/images.go
@@ -78,7 +78,22 @@
 	// What the holders free in the time of the fetch, if their CPUs come free
 	// once in an estimated run of this job.
 	freed := r.holders[j.spec.Image] * fetch.Seconds() / max(j.spec.EstimateS, 1)
-	return freed < float64(j.flight.Untaken())*j.spec.CPUs || now.Sub(j.passed) > passFetches*fetch
+	return freed < float64(j.flight.Untaken())*j.spec.CPUs || now.Sub(j.passed) > r.passFor(fetch)
+}
+
+// passFor is for how long a job may be passed over by machines that would take
+// a time to fetch its image: twice that, but no longer than leaves time to fetch
+// it and still start within what the guarantee allows.
+func (r *reign) passFor(fetch time.Duration) time.Duration {
+	limit := passFetches * fetch
+	switch {
+	case r.startWithin == 0:
+	case fetch < r.startWithin:
+		limit = min(limit, r.startWithin-fetch)
+	default:
+		limit = min(limit, r.startWithin)
+	}
+	return limit
 }
 
 // hurries tells whether a job's tasks should start sooner than a fetch takes:
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -61,6 +61,8 @@
 	// given work directly; ordering is to how many such orders are on the way.
 	dispatchUntil time.Time
 	ordering      int
+	// startWithin is within what time work within a guarantee should start.
+	startWithin time.Duration
 	// grace is how long what waits is left to better machines.
 	grace time.Duration
 	// holders are the CPUs of open machines by the images that they have.
@@ -125,6 +127,9 @@
 	for _, o := range c.Settings.Site.Objectives {
 		if o.Kind == "guarantee" && o.WithinS > 0 {
 			r.grace = min(r.grace, config.Seconds(o.WithinS/5))
+			if within := config.Seconds(o.WithinS); r.startWithin == 0 || within < r.startWithin {
+				r.startWithin = within
+			}
 		}
 	}
 	go r.load()
