--- a/internal/controller/trouble_test.go
+++ b/internal/controller/trouble_test.go
@@ -350,3 +350,63 @@
 		w.same("term of its own", k.rep.Term, 2)
 	})
 }
+
+// A task on a machine that has gone deaf cannot be stopped by orders. If its
+// job is cancelled, the machine is returned in the time that a cancellation
+// has, although its reports go on.
+func TestCancelledJobOnADeafMachine(t *testing.T) {
+	play(t, func(w *world) {
+		n := w.start("n0")
+		deaf := w.worker("i-1", "a", false)
+		w.submit(n, spec("job-1", 2))
+		deaf.serve(n, 3)
+		w.same("running", len(deaf.running()), 2)
+		w.dead.Store("i-1", true)
+		if _, err := n.Abort(context.Background(), "job-1"); err != nil {
+			t.Fatal(err)
+		}
+		t0 := time.Now()
+		for !w.cloud.gone("i-1") && time.Since(t0) < time.Minute {
+			deaf.send(n) // what it is answered does not reach it
+			time.Sleep(time.Second)
+		}
+		if took := time.Since(t0); took >= 30*time.Second {
+			t.Errorf("returned after %v", took)
+		}
+	})
+}
+
+// Once troubles are over every job is answered for within seconds, at every
+// node: no job may be left out because of what went on before.
+func TestAllPollsAreAnsweredAfterTroubles(t *testing.T) {
+	play(t, func(w *world) {
+		l, a, b, ga, gb := w.pair()
+		for i := range 12 {
+			w.submit([]*node{a, b}[i%2], spec(fmt.Sprint("job-", i), 1))
+		}
+		k := w.worker("i-1", "", false)
+		k.serve(a, 3)
+		l.cut.Store(true)
+		ga.set(true)
+		time.Sleep(20 * time.Second)
+		w.store.SetDown(true)
+		gb.set(true)
+		time.Sleep(15 * time.Second)
+		w.store.SetDown(false)
+		ga.set(false)
+		gb.set(false)
+		l.cut.Store(false)
+		k.exit(api.CauseDone)
+		for range 15 {
+			k.either(a, b)
+			k.exit(api.CauseDone)
+			time.Sleep(time.Second)
+		}
+		for i := range 12 {
+			for _, n := range []*node{a, b} {
+				w.same(fmt.Sprint("job ", i), w.phase(n, fmt.Sprint("job-", i)), "done")
+			}
+		}
+		w.same("ready", a.Ready() && b.Ready(), true)
+	})
+}
