A greeting does not show that the orders of an answer were lost

A machine's own report was answered with starts; while the answer was on its way the machine also answered the greeting. Ruled out: late direct orders, relay, old leader.

Orders of an answer are now only given up by the machine's own next report, which it sends when the answer was carried out or dropped, or by a new session. The test fails without it.

--- a/internal/controller/direct_test.go
+++ b/internal/controller/direct_test.go
@@ -306,3 +306,56 @@
 		})
 	})
 }
+
+// A greeting's answer may be drawn up while the answer to the machine's own
+// report, with a start in it, is still on its way to the machine. It is the
+// newer message and does not show the task; taken for proof that the start was
+// lost, the task would begin elsewhere while it begins here. Seen when a leader
+// had 700 machines to greet and answered late.
+func TestGreetingBesideAnAnswer(t *testing.T) {
+	play(t, func(w *world) {
+		a, d, ks := w.seldom(2)
+		a.crash()
+		d.set(true, false) // only answers bring starts
+		b := w.start("n0")
+		ks[0].serve(b, 2)
+		ks[1].serve(b, 2)
+		w.submit(b, spec("job-1", 4))
+		time.Sleep(6 * time.Second) // the refused orders keep the machines back
+		orders, err := ks[0].send(b)
+		if err != nil || len(orders) != 4 {
+			t.Fatalf("orders %v, error %v", orders, err)
+		}
+		greeted := func(k *worker) {
+			b.look(func(c *Controller) {
+				m := c.reign.machines[k.rep.Machine]
+				rep, err := d.Greet(context.Background(), m.addr, c.reign.term.Number)
+				if err != nil {
+					t.Fatal(err)
+				}
+				c.reign.greeting++
+				greetedMsg{c.reign, m, rep, nil}.apply(c)
+			})
+		}
+		greeted(ks[0])
+		ks[1].serve(b, 3)
+		w.same("begun elsewhere", ks[1].running(), []string(nil))
+		ks[0].obey(orders)
+		ks[0].serve(b, 2)
+		w.same("begun", len(ks[0].running()), 4)
+
+		// An answer that is lost is known by the machine's next own report, or
+		// by its next session, even if a greeting shows that.
+		w.submit(b, spec("job-2", 2))
+		time.Sleep(6 * time.Second)
+		lost, err := ks[1].send(b)
+		if err != nil || len(lost) != 2 {
+			t.Fatalf("orders %v, error %v", lost, err)
+		}
+		ks[1].rep.Session, ks[1].rep.Seq = ks[1].rep.Session+1, 0
+		greeted(ks[1])
+		b.look(func(c *Controller) { w.same("untaken again", c.reign.jobs["job-2"].flight.Untaken(), 2) })
+		ks[1].serve(b, 6)
+		w.same("repeated", len(ks[1].running()), 2)
+	})
+}
--- a/internal/controller/greet.go
+++ b/internal/controller/greet.go
@@ -64,12 +64,9 @@
 			g.m.probeFails++
 		}
 	case c.valid() && g.rep.Machine == g.m.name:
-		// There is no answer in which orders could go.
-		g.m.held = true
-		if _, err := r.report(g.rep, now); err != nil {
+		if _, err := r.takeIn(g.rep, drawnReport, now); err != nil {
 			c.Log.Debug("greeting", "machine", g.m.name, "err", err)
 		}
-		g.m.held, g.m.asked = false, nil
 	}
 	if c.reign == r {
 		r.greetNext(now)
--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -142,11 +142,10 @@
 	task int
 	// phase is the worker's, or "" while only the order has been sent.
 	phase string
-	// sentSeq is the report that the start order answered. A newer report
-	// without the attempt shows that the order was never carried out.
-	sentSeq   uint64
-	sentAt    time.Time
-	runningAt time.Time
+	// sentSession is the session in which the start was ordered.
+	sentSession uint64
+	sentAt      time.Time
+	runningAt   time.Time
 	// blurred is set if the machine was out of hearing during the run.
 	blurred bool
 	stop    *stopOrder
@@ -159,6 +158,12 @@
 	noted bool
 }
 
+// onItsWay tells whether the answer with the start may still be on its way to
+// the worker. Only a report of its own shows that it is not, or a new session.
+func (a *attempt) onItsWay(rep *api.Report) bool {
+	return a.seen == 0 && a.sentSession == rep.Session
+}
+
 type stopOrder struct {
 	grace time.Duration
 	since time.Time
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -15,6 +15,24 @@
 // answers only: an answer that comes late is dropped by the worker, while an
 // order sent by itself could be carried out minutes later.
 func (r *reign) report(rep *api.Report, now time.Time) (api.ReportAnswer, error) {
+	return r.takeIn(rep, ownReport, now)
+}
+
+// origin is how a report came about.
+type origin int
+
+const (
+	// ownReport is one that the worker sent by itself. It does so only once the
+	// answer to its last one was carried out or given up.
+	ownReport origin = iota
+	// drawnReport answers a greeting. There is no answer in which orders could
+	// go, and the orders of the last answer may still be on their way to the
+	// worker when it is drawn up: it does not show that they were not
+	// carried out.
+	drawnReport
+)
+
+func (r *reign) takeIn(rep *api.Report, from origin, now time.Time) (api.ReportAnswer, error) {
 	ans := api.ReportAnswer{Term: r.term.Number, Orders: []api.Order{}}
 	if rep.Term > r.term.Number {
 		// The machine has seen a later term than this one.
@@ -62,7 +80,7 @@
 	if rep.NoticeS != nil {
 		r.notice(m, *rep.NoticeS, now)
 	}
-	ans.Orders = r.reconcile(m, rep, ans.Orders, now)
+	ans.Orders = r.reconcile(m, rep, from, ans.Orders, now)
 	if m.unheeded == 0 {
 		m.probeFails = 0
 	}
@@ -74,9 +92,13 @@
 	}
 	if rep.Term == r.term.Number {
 		r.countHeard(m)
-		ans.Orders = r.place(m, ans.Orders, now)
+		if from == ownReport {
+			ans.Orders = r.place(m, ans.Orders, now)
+		}
+	}
+	if from == ownReport {
+		m.asked = ans.Orders
 	}
-	m.asked = ans.Orders
 	if m.usedCPUs > slack || len(m.attempts) > 0 {
 		m.idle = now
 	}
@@ -138,7 +160,7 @@
 }
 
 // reconcile brings the machine's attempts in line with its report.
-func (r *reign) reconcile(m *machine, rep *api.Report, orders []api.Order, now time.Time) []api.Order {
+func (r *reign) reconcile(m *machine, rep *api.Report, from origin, orders []api.Order, now time.Time) []api.Order {
 	for i := range rep.Tasks {
 		t := &rep.Tasks[i]
 		key := attemptKey{t.Task, t.Attempt}
@@ -152,10 +174,12 @@
 			orders = append(orders, api.Order{Verb: api.VerbReap, Task: t.Task, Attempt: t.Attempt})
 		}
 	}
-	r.heed(m, now)
+	if from == ownReport {
+		r.heed(m, now)
+	}
 	for key, a := range m.attempts {
 		if a.seen != m.reports {
-			if a.direct.mayCome(rep) {
+			if a.direct.mayCome(rep) || (from == drawnReport && a.onItsWay(rep)) {
 				continue
 			}
 			// Reaped, killed with its session, or never begun: a newer
@@ -351,7 +375,7 @@
 			break
 		}
 		a := &attempt{key: attemptKey{j.taskRef(task), r.nextAttempt()}, machine: m, job: j, task: task,
-			sentSeq: m.seq, sentAt: now}
+			sentSession: m.session, sentAt: now}
 		m.attempts[a.key] = a
 		if !m.images.has(j.spec.Image) {
 			m.fetching[j.spec.Image] = true
