Machines that cannot reach the leader have their reports passed on by other nodes

Followers told the machines who leads, so they went to and fro until their leases ended; the leader rented 314 machines for what waited.

Now a machine that comes back to a follower a few seconds after it was told who leads has its reports passed on for a minute.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -70,8 +70,10 @@
 	up     relayUp
 	around around
 	// sent is when machines were sent on to the leader, past this node.
-	sent  map[string]time.Time
-	final *lru.Cache[string, api.JobState]
+	sent map[string]time.Time
+	// directed is to whom machines were last told to report.
+	directed map[string]directed
+	final    *lru.Cache[string, api.JobState]
 }
 
 // message is what the owner goroutine is sent.
@@ -92,7 +94,7 @@
 	return &Controller{
 		Config: cfg, records: store.Records{Store: cfg.UserStore},
 		mail: make(chan message, 256), depose: make(chan uint64, 4), resigns: make(chan string, 4), final: final,
-		sent: map[string]time.Time{}, up: newRelayUp(), around: newAround(cfg.Settings.Peers, time.Now()),
+		sent: map[string]time.Time{}, directed: map[string]directed{}, up: newRelayUp(), around: newAround(cfg.Settings.Peers, time.Now()),
 	}
 }
 
--- a/internal/controller/gate.go
+++ b/internal/controller/gate.go
@@ -98,6 +98,14 @@
 		m.reply <- reportReply{err: &api.NotLeaderError{Leader: leader}}
 		return
 	}
+	if n := c.around.nodes[leader]; m.unreached == "" && n.reached(now) && n.Term > 0 {
+		if c.cameBack(m.rep.Machine, leader, n.Term, now) {
+			m.reply <- reportReply{passTo: leader}
+			return
+		}
+		m.reply <- reportReply{err: &api.NotLeaderError{Leader: leader}}
+		return
+	}
 	unreached := m.unreached == leader || !c.around.nodes[leader].reached(now)
 	if ans, ok := c.keep.answer(m.rep, leader, c.keepFor(), unreached, now); ok {
 		c.up.note(c, m.rep, &ans, now)
@@ -144,6 +152,38 @@
 	return now.Sub(c.sent[machine]) >= sendOnAgain
 }
 
+// directed is when a machine was last told to report to a leader of a term.
+type directed struct {
+	leader string
+	term   uint64
+	at     time.Time
+	// pass is until when its reports are passed on instead.
+	pass time.Time
+}
+
+// cameBack tells whether a machine reports here although it was told just now
+// who leads. It cannot reach the leader, while this node can: its reports are
+// passed on, or all machines of a leader that loses the way to them would lose
+// their tasks. After a while it is told again.
+func (c *Controller) cameBack(machine, leader string, term uint64, now time.Time) bool {
+	d := c.directed[machine]
+	if d.leader == leader && d.term == term {
+		if now.Before(d.pass) {
+			return true
+		}
+		if since := now.Sub(d.at); since > cameAtOnce && since < cameBackWithin {
+			d.pass = now.Add(sendOnAgain)
+			c.directed[machine] = d
+			return true
+		}
+	}
+	if len(c.directed) >= maxSent {
+		clear(c.directed)
+	}
+	c.directed[machine] = directed{leader: leader, term: term, at: now}
+	return false
+}
+
 // noteSent notes that a machine is sent to the leader itself. One that comes
 // back cannot reach it either, and is not sent again for a while: trying would
 // take longer than its lease.
@@ -156,5 +196,10 @@
 
 const (
 	sendOnAgain = time.Minute
-	maxSent     = 10_000
+	// A machine that comes again at once was refused by the leader, or is a
+	// copy that comes late; one that waits for the leader in vain gives up
+	// after a few seconds, and may ask the third node first.
+	cameAtOnce     = time.Second
+	cameBackWithin = 15 * time.Second
+	maxSent        = 10_000
 )
