Machines that must know the leader are passed on at once

One with the present token, in a term older than a lease, must know; its reports are passed on from the first.

--- a/internal/controller/around.go
+++ b/internal/controller/around.go
@@ -36,7 +36,9 @@
 // neighbour is another node as last heard of.
 type neighbour struct {
 	Standing
-	zone   string
+	zone string
+	// termAt is when it was first heard to lead in its term.
+	termAt time.Time
 	seen   time.Time
 	failed int
 	// refused is set if it refuses connections from here.
@@ -151,6 +153,7 @@
 }
 
 func (m peerMsg) apply(c *Controller) {
+	now := time.Now()
 	n := c.around.nodes[m.node]
 	if n == nil {
 		return
@@ -159,6 +162,9 @@
 	if n.failed = m.failed; m.failed > 0 {
 		return
 	}
+	if m.st.Term != n.Term {
+		n.termAt = now
+	}
 	n.Standing, n.seen = m.st, m.sent
 	if c.reign != nil {
 		c.reign.down.restarted(c.reign, m.node, m.st.Incarnation)
--- a/internal/controller/gate.go
+++ b/internal/controller/gate.go
@@ -99,7 +99,8 @@
 		return
 	}
 	if n := c.around.nodes[leader]; m.unreached == "" && n.reached(now) && n.Term > 0 {
-		if c.cameBack(m.rep.Machine, leader, n.Term, now) {
+		settled := m.rep.Term == n.Term && now.Sub(n.termAt) > c.Settings.Site.Workers.Lease()
+		if c.cameBack(m.rep.Machine, leader, n.Term, settled, now) {
 			m.reply <- reportReply{passTo: leader}
 			return
 		}
@@ -162,20 +163,23 @@
 }
 
 // cameBack tells whether a machine reports here although it was told just now
-// who leads. It cannot reach the leader, while this node can: its reports are
-// passed on, or all machines of a leader that loses the way to them would lose
-// their tasks. After a while it is told again.
-func (c *Controller) cameBack(machine, leader string, term uint64, now time.Time) bool {
+// who leads, or must have known it for long (settled). It cannot reach the
+// leader, while this node can: its reports are passed on, or all machines of a
+// leader that loses the way to them would lose their tasks. After a while it is
+// told again.
+func (c *Controller) cameBack(machine, leader string, term uint64, settled bool, now time.Time) bool {
 	d := c.directed[machine]
-	if d.leader == leader && d.term == term {
-		if now.Before(d.pass) {
-			return true
-		}
-		if since := now.Sub(d.at); since > cameAtOnce && since < cameBackWithin {
-			d.pass = now.Add(sendOnAgain)
-			c.directed[machine] = d
-			return true
-		}
+	if d.leader != leader || d.term != term {
+		d = directed{leader: leader, term: term}
+	}
+	if now.Before(d.pass) {
+		return true
+	}
+	since := now.Sub(d.at)
+	if settled && since > 2*sendOnAgain || since > cameAtOnce && since < cameBackWithin {
+		d.at, d.pass = now, now.Add(sendOnAgain)
+		c.directed[machine] = d
+		return true
 	}
 	if len(c.directed) >= maxSent {
 		clear(c.directed)
