Direct questions by the sockets there are; renewals and reports wait for nobody

Cause: fixed bounds. Polls that wait for the store could fill all 64 places of a connection between nodes, with reports and signs of life behind them. Renewals waited in the common request budget.

Greetings, probes and starts: a 24th of the sockets each. Polls have 96 of 256 places, and are refused at once beyond. Renewals take no turn and have connections of their own.

--- a/internal/controller/direct.go
+++ b/internal/controller/direct.go
@@ -38,7 +38,6 @@
 	directAbove = 2 * time.Second
 	dispatchFor = 1500 * time.Millisecond
 	directWait  = 1500 * time.Millisecond
-	maxOrdering = 16
 )
 
 // directStart is a start that was sent straight to a machine.
@@ -85,7 +84,7 @@
 		return cmp.Or(cmp.Compare(r.renter.cpuPrice(a), r.renter.cpuPrice(b)), cmp.Compare(a.freeCPUs(), b.freeCPUs()), cmp.Compare(a.name, b.name))
 	})
 	for _, m := range ms {
-		if r.ordering >= maxOrdering {
+		if r.ordering >= r.dials {
 			return
 		}
 		if orders := r.place(m, nil, now); len(orders) > 0 {
--- a/internal/controller/greet.go
+++ b/internal/controller/greet.go
@@ -13,12 +13,20 @@
 // orders: it may come late, or twice, and only raises the machine's token. Its
 // answer is the machine's report, with this term.
 
-// maxGreetings bounds the sockets in use for greetings.
-const maxGreetings = 24
+// dials is how many machines a leader speaks to directly at a time, for each of
+// greetings, probes and starts. It is a part of the node's sockets: where many
+// machines fall together, each holds one until its time is up, and those that
+// live must not wait for their turn behind them.
+func dials(sockets int) int { return min(max(sockets/24, leastDials), mostDials) }
+
+const (
+	leastDials = 16
+	mostDials  = 256
+)
 
 // greetNext greets the machines that are still to be greeted.
 func (r *reign) greetNext(now time.Time) {
-	for len(r.toGreet) > 0 && r.greeting < maxGreetings {
+	for len(r.toGreet) > 0 && r.greeting < r.dials {
 		m := r.toGreet[0]
 		r.toGreet = r.toGreet[1:]
 		if m.heard || m.gone || m.returning || m.addr == "" {
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -77,6 +77,8 @@
 	// listening is since when this node can hear its machines.
 	listening time.Time
 	probing   int
+	// dials bounds each of probing, greeting and ordering.
+	dials int
 	// toGreet are the machines that a new leader has yet to greet.
 	toGreet  []*machine
 	greeting int
@@ -112,6 +114,7 @@
 	r.holders = map[string]float64{}
 	r.counts = newCounters()
 	r.fetches = manyFetches
+	r.dials = dials(c.Settings.Site.Limits.FDLimit)
 	r.confirm.r = r
 	r.recorder.init(r)
 	r.renter.init(r)
--- a/internal/controller/silence.go
+++ b/internal/controller/silence.go
@@ -20,8 +20,6 @@
 	// deafAfter is how many times in a row a machine may carry out no orders
 	// while it answers probes.
 	deafAfter = 4
-	// maxProbes bounds the sockets in use for probes.
-	maxProbes = 24
 	// settleIn is what machines are given to find a new leader before they
 	// are probed.
 	settleIn = 1500 * time.Millisecond
@@ -88,11 +86,11 @@
 
 // probe asks a silent machine, unless it was asked just now.
 func (r *reign) probe(m *machine, now time.Time) {
-	if now.Before(m.nextProbe) || r.probing >= maxProbes {
+	if now.Before(m.nextProbe) || r.probing >= r.dials {
 		return
 	}
 	if !m.heard && r.c.Director != nil && m.addr != "" {
-		if r.greeting < maxGreetings {
+		if r.greeting < r.dials {
 			r.greet(m, now)
 		}
 		return
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -40,8 +40,14 @@
 	Resigned(ctx context.Context, r *Resignation) error
 }
 
-// maxInFlight bounds the questions of one connection that are being answered.
-const maxInFlight = 64
+// maxInFlight bounds the questions of one connection that are being answered,
+// and maxJobs those of them about jobs. The latter wait for the state service;
+// while it is away they would fill all places, and a whole zone's reports and
+// the signs of life would wait behind them.
+const (
+	maxInFlight = 256
+	maxJobs     = 96
+)
 
 // Serve answers the peers that connect to a listener.
 func Serve(ctx context.Context, ln net.Listener, h Handler, log *slog.Logger) error {
@@ -66,7 +72,7 @@
 func serveConn(ctx context.Context, conn net.Conn, h Handler) {
 	defer conn.Close()
 	var mu sync.Mutex
-	slots := make(chan struct{}, maxInFlight)
+	slots, jobs := make(chan struct{}, maxInFlight), make(chan struct{}, maxJobs)
 	r := bufio.NewReader(conn)
 	for {
 		conn.SetReadDeadline(time.Now().Add(2 * time.Minute))
@@ -77,9 +83,16 @@
 		slots <- struct{}{}
 		go func() {
 			defer func() { <-slots }()
-			resp := &Response{}
-			if err := respond(ctx, h, &req, resp); err != nil {
-				resp = &Response{Unable: true}
+			resp := &Response{Unable: true}
+			if _, ok := req.Kind.(*Request_Job); !ok {
+				resp = respond(ctx, h, &req)
+			} else {
+				select {
+				case jobs <- struct{}{}:
+					resp = respond(ctx, h, &req)
+					<-jobs
+				default: // refused at once
+				}
 			}
 			resp.Seq = req.Seq
 			mu.Lock()
@@ -92,7 +105,8 @@
 	}
 }
 
-func respond(ctx context.Context, h Handler, req *Request, resp *Response) (err error) {
+func respond(ctx context.Context, h Handler, req *Request) *Response {
+	resp, err := &Response{}, error(nil)
 	switch k := req.Kind.(type) {
 	case *Request_Ping:
 		resp.Pong, err = h.Ping(ctx)
@@ -105,7 +119,10 @@
 	default:
 		err = ErrUnable // a question of a later version
 	}
-	return err
+	if err != nil {
+		return &Response{Unable: true}
+	}
+	return resp
 }
 
 func read(r io.Reader, m proto.Message) error {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -101,3 +101,38 @@
 		cancel()
 	}
 }
+
+// stuck cannot answer questions about jobs, as while the state service is away.
+type stuck struct{ answers }
+
+func (s stuck) Job(ctx context.Context, _ string) (*JobStatus, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Questions about jobs that wait hold up neither reports nor signs of life, and
+// those beyond the bound are refused at once.
+func TestReportsDoNotWaitBehindPolls(t *testing.T) {
+	c, _ := connected(t, stuck{answers{term: 9}})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	const more = 50
+	refused := make(chan error, more)
+	for range maxJobs + more {
+		go func() {
+			if _, err := c.Job(ctx, "job-1"); errors.Is(err, ErrUnable) {
+				refused <- err
+			}
+		}()
+	}
+	for range more {
+		<-refused
+	}
+	if _, err := c.Ping(ctx); err != nil {
+		t.Errorf("ping: %v", err)
+	}
+	rep := &Report{Machine: "i-1", Term: 9, Tasks: []*TaskReport{{Task: "job-1/2"}}}
+	if _, err := c.Report(ctx, rep); err != nil {
+		t.Errorf("report: %v", err)
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -108,9 +108,11 @@
 
 // Client speaks to the state service over HTTP.
 type Client struct {
-	base     string
-	http     *http.Client
-	watches  *http.Client
+	base    string
+	http    *http.Client
+	watches *http.Client
+	// renewals have connections of their own, which no other request holds.
+	renewals *http.Client
 	requests *rate.Limiter
 	writes   *rate.Limiter
 	// users is set in the view of a client that serves users' questions.
@@ -142,7 +144,7 @@
 	}
 	rps, wps := lim.RPS*nodeShare, lim.WriteRPS*(1-RecordShare)
 	return &Client{
-		base: "http://" + addr, http: transport(12), watches: transport(4),
+		base: "http://" + addr, http: transport(12), watches: transport(4), renewals: transport(2),
 		requests: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
 		writes:   rate.NewLimiter(rate.Limit(wps), max(leastBurst, int(wps))),
 	}
@@ -231,7 +233,9 @@
 // Extend renews a lease.
 func (c *Client) Extend(ctx context.Context, lease uint64) error {
 	path := "/leases/" + strconv.FormatUint(lease, 10) + "/extend"
-	status, err := c.call(ctx, c.http, http.MethodPost, path, nil, nil)
+	// Renewals wait for nobody: what they use is missing to the others later.
+	c.requests.Reserve()
+	status, err := c.send(ctx, c.renewals, http.MethodPost, path, nil, nil)
 	if err != nil {
 		return err
 	}
@@ -266,7 +270,7 @@
 	return fmt.Errorf("%w: unexpected status %d", ErrUnknown, status)
 }
 
-// call sends one request within the budget and decodes the answer.
+// call sends one request within the budget.
 func (c *Client) call(ctx context.Context, hc *http.Client, method, path string, in, out any) (int, error) {
 	if c.users != nil {
 		if err := c.users.Wait(ctx); err != nil {
@@ -276,6 +280,11 @@
 	if err := c.requests.Wait(ctx); err != nil {
 		return 0, fmt.Errorf("%w: request budget: %w", ErrRefused, err)
 	}
+	return c.send(ctx, hc, method, path, in, out)
+}
+
+// send sends one request and decodes the answer.
+func (c *Client) send(ctx context.Context, hc *http.Client, method, path string, in, out any) (int, error) {
 	var body io.Reader
 	if in != nil {
 		raw, err := json.Marshal(in)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -41,7 +41,7 @@
 
 func scripted(s *script) *Client {
 	c := NewClient("10.0.0.1:1", config.StateLimits{RPS: 100, WriteRPS: 25, TxnOps: 12})
-	c.http.Transport, c.watches.Transport = s, s
+	c.http.Transport, c.watches.Transport, c.renewals.Transport = s, s, s
 	return c
 }
 
