A machine started anew under its name is returned

A machine may be back within a fraction of a second. If it counts its reports from the first again, the leader dropped them all as older ones, while probes found it alive: its tasks stayed with it for ever. A probe now reads the machine's report; one that says less than was known shows it, and the machine is returned, which alone frees its tasks.

--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -91,14 +91,26 @@
 	zones map[string]string
 	// dead are the machines that do not answer when asked directly.
 	dead sync.Map
+	// machines are the scripted machines by address.
+	machines sync.Map
 }
 
 // Probe implements Prober.
-func (w *world) Probe(_ context.Context, addr string) error {
+func (w *world) Probe(_ context.Context, addr string) (*api.Report, error) {
 	if _, dead := w.dead.Load(addr); dead {
-		return errors.New("no answer")
+		return nil, errors.New("no answer")
 	}
-	return nil
+	k, ok := w.machines.Load(addr)
+	if !ok {
+		return nil, errors.New("no such machine")
+	}
+	m := k.(*worker)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rep.Seq++
+	rep := m.rep
+	rep.Tasks = slices.Clone(m.rep.Tasks)
+	return &rep, nil
 }
 
 func newWorld(t *testing.T) *world {
@@ -273,7 +285,9 @@
 }
 
 func (w *world) worker(name, zone string, spot bool) *worker {
-	return &worker{w: w, rep: api.Report{Machine: name, Addr: name, Type: "small", Zone: zone, Spot: spot, Session: 1}}
+	k := &worker{w: w, rep: api.Report{Machine: name, Addr: name, Type: "small", Zone: zone, Spot: spot, Session: 1}}
+	w.machines.Store(name, k)
+	return k
 }
 
 // report sends a report and carries the orders out, as a worker does.
--- a/internal/controller/silence.go
+++ b/internal/controller/silence.go
@@ -4,12 +4,13 @@
 	"context"
 	"time"
 
+	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/config"
 )
 
-// Prober asks a machine directly whether it is alive.
+// Prober asks a machine directly for its report, to learn whether it is alive.
 type Prober interface {
-	Probe(ctx context.Context, addr string) error
+	Probe(ctx context.Context, addr string) (*api.Report, error)
 }
 
 const (
@@ -102,11 +103,14 @@
 		return
 	}
 	r.probing++
-	addr := m.addr // the machine is the owner's
+	// The machine is the owner's.
+	msg := probedMsg{r: r, m: m, asked: now, session: m.session, seq: m.seq}
+	addr := m.addr
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, probeTimeout)
 		defer cancel()
-		r.post(probedMsg{r, m, now, p.Probe(ctx, addr)})
+		msg.rep, msg.err = p.Probe(ctx, addr)
+		r.post(msg)
 	}()
 }
 
@@ -114,7 +118,10 @@
 	r     *reign
 	m     *machine
 	asked time.Time
-	err   error
+	// session and seq are of the machine's last report when it was asked.
+	session, seq uint64
+	rep          *api.Report
+	err          error
 }
 
 func (p probedMsg) apply(c *Controller) {
@@ -125,12 +132,23 @@
 	if p.m.gone {
 		return
 	}
-	if p.err != nil {
+	if p.err != nil || p.rep.Machine != p.m.name {
 		if p.m.lastSeen.Before(p.asked) || p.m.unheeded > 0 {
 			p.m.probeFails++
 		}
 		return
 	}
+	if p.rep.Session < p.session || p.rep.Session == p.session && p.rep.Seq < p.seq {
+		// It answers, and says less than it did: it was started anew, back
+		// before anybody missed it. All its reports would be taken for older
+		// ones, and its tasks for running, without end. Nothing shows that
+		// they are off the machine but its return.
+		p.r.leave(p.m, "started anew")
+		if !p.m.returning {
+			p.r.renter.giveBack(p.m)
+		}
+		return
+	}
 	// Alive, but its reports do not get here; what they would say is not
 	// known, so only the silence is taken back.
 	p.m.probeFails = 0
--- a/internal/controller/trouble_test.go
+++ b/internal/controller/trouble_test.go
@@ -410,3 +410,30 @@
 		w.same("ready", a.Ready() && b.Ready(), true)
 	})
 }
+
+// A machine that is started anew under its name, back before it was missed,
+// counts its reports from the first again: all would be dropped as older ones,
+// its tasks would be thought to run, and probes would find it alive. It is
+// returned, and only then do its tasks begin elsewhere.
+func TestMachineStartedAnew(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.start("n0")
+		k, other := w.worker("i-1", "a", false), w.worker("i-2", "a", false)
+		k.serve(a, 3)
+		w.submit(a, spec("job-1", 4))
+		k.serve(a, 6)
+		w.same("running", len(k.running()), 4)
+		other.serve(a, 3)
+		k.rep.Seq, k.rep.Term, k.rep.Tasks = 0, 0, nil
+		for range 15 {
+			if !w.cloud.gone("i-1") {
+				w.same("begun elsewhere before the return", other.running(), []string(nil))
+				k.report(a)
+			}
+			other.report(a)
+			time.Sleep(time.Second)
+		}
+		w.same("returned", w.cloud.gone("i-1"), true)
+		w.same("begun elsewhere", len(other.running()), 4)
+	})
+}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -30,24 +30,25 @@
 	}}}
 }
 
-// Probe returns nil if the machine at an address answers.
-func (c *Client) Probe(ctx context.Context, addr string) error {
+// Probe asks a machine for its report, to learn whether it is alive.
+func (c *Client) Probe(ctx context.Context, addr string) (*api.Report, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/inspect", nil)
 	if err != nil {
-		return fmt.Errorf("probe: %w", err)
+		return nil, fmt.Errorf("probe: %w", err)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return fmt.Errorf("probe: %w", err)
+		return nil, fmt.Errorf("probe: %w", err)
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer)); err != nil {
-		return fmt.Errorf("probe: %w", err)
+	var rep api.Report
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&rep); err != nil {
+		return nil, fmt.Errorf("probe: %w", err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("probe: status %d", resp.StatusCode)
+		return nil, fmt.Errorf("probe: status %d", resp.StatusCode)
 	}
-	return nil
+	return &rep, nil
 }
 
 const maxAnswer = 1 << 20
--- a/internal/worker/worker_test.go
+++ b/internal/worker/worker_test.go
@@ -76,3 +76,22 @@
 		t.Error("a machine with a later term was greeted")
 	}
 }
+
+func TestProbe(t *testing.T) {
+	for name, c := range map[string]struct {
+		dial func(context.Context, string, string) (net.Conn, error)
+		good bool
+	}{
+		"alive":     {machine(200, `{"Host":"i-1","Season":2,"Tally":7}`), true},
+		"no answer": {machine(0, ""), false},
+		"trouble":   {machine(500, `{}`), false},
+		"senseless": {machine(200, `{"Host"`), false},
+	} {
+		client := NewClient()
+		client.http.Transport.(*http.Transport).DialContext = c.dial
+		rep, err := client.Probe(t.Context(), "10.0.0.1:1")
+		if (err == nil) != c.good || c.good && (rep.Session != 2 || rep.Seq != 7) {
+			t.Errorf("%s: %+v, %v", name, rep, err)
+		}
+	}
+}
