Machines that come together share a sheet of the roster

Up to half a value's size of machines now share one record. Records are never written over, since a late transaction would bring an earlier list back: each has a name of its own, and is replaced by one with those who are left. A randomized test keeps the roster complete whatever becomes of the transactions; it fails if names are reused.

--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -199,6 +199,7 @@
 	asked    []api.Order
 	unheeded int
 	roster   rosterState
+	sheet    *sheet
 	// heard is set once the machine reports with this term: from then on it
 	// carries out no earlier leader's orders.
 	heard    bool
--- a/internal/controller/recorder.go
+++ b/internal/controller/recorder.go
@@ -27,6 +27,12 @@
 	enrolling []*machine
 	drops     []string
 	dirty     []*job
+	// torn are the sheets of the roster on which machines are gone; sheets
+	// counts those written, since none has the name of an earlier one.
+	torn      []*sheet
+	sheets    int
+	perSheet  int
+	nextSheet time.Time
 	busy      bool
 	waitUntil time.Time
 	// lastProgress keeps progress records behind everything else.
@@ -43,6 +49,7 @@
 	// A burst of records leaves room for submissions in the service's own.
 	w.limiter = rate.NewLimiter(rate.Limit(records), max(2, min(lim.TxnOps, int(records))))
 	w.maxBytes = 48 << 10
+	w.perSheet = max(1, int(lim.ValueKB*1024/2)/sheetLine)
 	// The bit set is written as base64; half the value's size leaves room.
 	w.perChunk = int(lim.ValueKB*1024/2) * 8
 }
@@ -70,7 +77,9 @@
 	txn      store.Txn
 	bytes    int
 	finished []*job
-	enrolled []*machine
+	sheets   []*sheet
+	// replaced are sheets that go with this batch.
+	replaced []*sheet
 	drops    []string
 	// progressed are the jobs whose done tasks the transaction records.
 	progressed []progressed
@@ -122,15 +131,11 @@
 		b.delete(active)
 		b.finished = append(b.finished, j)
 	}
-	for len(w.enrolling) > 0 && len(b.txn.Ops) < allowed {
-		m := w.enrolling[0]
-		w.enrolling = w.enrolling[1:]
-		if m.gone {
-			continue
-		}
-		b.put(store.MachinePrefix+m.name, store.MachineRecord{Addr: m.addr, Type: m.typ, Zone: m.zone, Spot: m.spot,
-			CPUs: m.cpus, GPUs: m.gpus, MemoryGB: m.memory})
-		b.enrolled = append(b.enrolled, m)
+	w.enrolling = slices.DeleteFunc(w.enrolling, func(m *machine) bool { return m.gone })
+	for len(w.enrolling) > 0 && len(b.txn.Ops) < allowed && b.bytes < w.maxBytes {
+		n := min(w.perSheet, len(w.enrolling))
+		b.sheet(w.newSheet(w.enrolling[:n]))
+		w.enrolling = w.enrolling[n:]
 	}
 	for len(w.drops) > 0 && len(b.txn.Ops) < allowed {
 		b.delete(w.drops[0])
@@ -141,6 +146,7 @@
 		w.nextProgress = now.Add(progressInterval)
 		w.addProgress(b, allowed/2)
 	}
+	w.mend(b, allowed, now)
 	w.limiter.AllowN(now, len(b.txn.Ops))
 	return b
 }
@@ -259,7 +265,7 @@
 // again puts a batch back that was not carried out, or may not have been.
 func (w *recorder) again(b *batch) {
 	w.finishing = append(slices.Clone(b.finished), w.finishing...)
-	w.enrolling = append(slices.Clone(b.enrolled), w.enrolling...)
+	w.unwritten(b)
 	w.drops = append(slices.Clone(b.drops), w.drops...)
 	for _, p := range b.progressed {
 		w.progress(p.j)
@@ -272,14 +278,7 @@
 	for _, j := range b.finished {
 		r.finished(j)
 	}
-	for _, m := range b.enrolled {
-		if m.gone {
-			w.drop(store.MachinePrefix + m.name)
-			continue
-		}
-		m.roster = rosterDurable
-		r.dispatchUntil = time.Now().Add(dispatchFor)
-	}
+	w.written(b)
 	for _, p := range b.progressed {
 		for i, by := range p.words {
 			for bit := range 8 {
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -493,9 +493,7 @@
 	for _, j := range r.jobs {
 		j.flight.Leave(m.name)
 	}
-	if m.roster != rosterNone {
-		r.recorder.drop(store.MachinePrefix + m.name)
-	}
+	r.recorder.tear(m)
 	r.c.Log.Info("machine gone", "machine", m.name, "why", m.why)
 }
 
--- /dev/null
+++ b/internal/controller/roster_test.go
@@ -0,0 +1,155 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"example.org/ivytrestle/internal/store"
+)
+
+// sheetsOf reads the roster: the machines on each of its sheets.
+func (w *world) sheetsOf() (sheets [][]string) {
+	w.t.Helper()
+	p, err := w.store.Range(context.Background(), store.MachinePrefix, "", 1000)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	for _, e := range p.Rows {
+		var rec store.RosterRecord
+		if err := json.Unmarshal(e.Value, &rec); err != nil {
+			w.t.Fatal(err)
+		}
+		var names []string
+		for _, m := range rec.Machines {
+			names = append(names, m.Name)
+		}
+		sheets = append(sheets, names)
+	}
+	return sheets
+}
+
+// roster lists the machines on the roster.
+func (w *world) roster() (names []string) {
+	for _, s := range w.sheetsOf() {
+		names = append(names, s...)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// Machines that come together share a sheet, so that a fleet need not wait for
+// one write each; as machines go, what is left of the sheets shrinks with them.
+func TestMachinesShareSheets(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.start("n0")
+		var ks []*worker
+		for i := range 60 {
+			ks = append(ks, w.worker(fmt.Sprintf("i-%02d", i), "a", false))
+			ks[i].send(a) // learns the term
+		}
+		for _, k := range ks {
+			k.send(a)
+		}
+		time.Sleep(2 * time.Second)
+		w.same("on the roster", len(w.roster()), 60)
+		if n := len(w.sheetsOf()); n > 6 {
+			t.Errorf("%d sheets for 60 machines", n)
+		}
+		for _, k := range ks[:57] {
+			w.dead.Store(k.rep.Machine, true)
+		}
+		for range 60 {
+			for _, k := range ks[57:] {
+				k.report(a)
+			}
+			time.Sleep(time.Second)
+		}
+		left := 0
+		a.look(func(c *Controller) { left = len(c.reign.machines) })
+		if names := w.roster(); left >= 60 || len(names) != left {
+			t.Errorf("%d machines are left, on the roster %v", left, names)
+		}
+		b := w.start("n0")
+		b.look(func(c *Controller) { w.same("read by the next leader", len(c.reign.machines), left) })
+	})
+}
+
+// Whatever becomes of the transactions that write sheets, carried out without an
+// answer or late, a machine that may be given tasks is on the roster.
+func TestRosterHoldsEveryMachineInUse(t *testing.T) {
+	play(t, func(w *world) {
+		rnd := rand.New(rand.NewPCG(1, 2))
+		a := w.start("n0")
+		sheets := touches(store.MachinePrefix)
+		var ks []*worker
+		for round := range 60 {
+			switch rnd.IntN(4) {
+			case 0:
+				w.store.Lose(sheets)
+			case 1:
+				w.store.Hold(sheets)
+			default:
+				w.store.Lose(nil)
+				w.store.Release()
+			}
+			for range rnd.IntN(8) {
+				ks = append(ks, w.worker(fmt.Sprintf("i-%d-%d", round, len(ks)), "a", false))
+			}
+			for len(ks) > 30 {
+				w.dead.Store(ks[0].rep.Machine, true)
+				ks = ks[1:]
+			}
+			for range 3 {
+				for _, k := range ks {
+					k.report(a)
+				}
+				for range 20 {
+					time.Sleep(50 * time.Millisecond)
+					names, inUse := w.roster(), []string(nil)
+					a.look(func(c *Controller) {
+						for name, m := range c.reign.machines {
+							if m.roster == rosterDurable {
+								inUse = append(inUse, name)
+							}
+						}
+					})
+					names = append(names, w.roster()...) // some may have come, or gone, just now
+					for _, name := range inUse {
+						if !slices.Contains(names, name) {
+							t.Fatalf("round %d: %s may be in use and is not on the roster", round, name)
+						}
+					}
+				}
+			}
+		}
+		w.store.Release()
+		time.Sleep(5 * time.Second)
+		w.same("machines left", len(ks) > 0, true)
+	})
+}
+
+// A sheet that may have taken another's place may be all that is left of it: it
+// goes only in the transaction that writes the next.
+func TestSheetPerhapsWritten(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.start("n0")
+		w.worker("i-1", "a", false).serve(a, 3)
+		a.look(func(c *Controller) {
+			rec := &c.reign.recorder
+			old := c.reign.machines["i-1"].sheet
+			next := rec.newSheet(old.members)
+			next.replaces, old.torn = old, true
+			rec.unwritten(&batch{sheets: []*sheet{next}, replaced: []*sheet{old}})
+			w.same("dropped by themselves", len(rec.drops), 0)
+			b := &batch{}
+			rec.mend(b, 10, time.Now())
+			w.same("put", b.txn.Ops[0].Put != "" && b.txn.Ops[0].Put != next.key, true)
+			w.same("dropped with it", []string{b.txn.Ops[1].Delete, b.txn.Ops[2].Delete}, []string{old.key, next.key})
+		})
+	})
+}
--- a/internal/controller/rules_test.go
+++ b/internal/controller/rules_test.go
@@ -88,7 +88,7 @@
 		for _, res := range w.store.Release() {
 			w.same("late transaction carried out", res.OK, false)
 		}
-		w.same("roster", w.store.Has(store.MachinePrefix+"i-1"), false)
+		w.same("roster", w.roster(), []string(nil))
 	})
 }
 
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -94,19 +94,7 @@
 		r.addProgress(e, now)
 	}
 	for _, e := range m.s.machines {
-		name := e.Key[len(store.MachinePrefix):]
-		var rec store.MachineRecord
-		if err := json.Unmarshal(e.Value, &rec); err != nil {
-			c.Log.Error("roster record", "key", e.Key, "err", err)
-		}
-		mc := r.addMachine(name, rec.Type, rec.Zone, rec.Spot, now)
-		mc.addr = rec.Addr
-		mc.cpus, mc.gpus, mc.memory = rec.CPUs, rec.GPUs, rec.MemoryGB
-		mc.roster = rosterDurable
-		r.toGreet = append(r.toGreet, mc)
-		r.unheard++
-		r.unheardCPUs += mc.cpus
-		r.unheardGPUs += mc.gpus
+		r.addSheet(e, now)
 	}
 	r.loaded, r.listening = true, now
 	if c.Director != nil {
@@ -115,6 +103,34 @@
 	c.Log.Info("takeover: read", "term", r.term.Number, "jobs", len(r.jobs), "machines", r.unheard)
 }
 
+// addSheet takes in a sheet of the roster.
+func (r *reign) addSheet(e store.Entry, now time.Time) {
+	var rec store.RosterRecord
+	if err := json.Unmarshal(e.Value, &rec); err != nil {
+		r.c.Log.Error("roster record", "key", e.Key, "err", err)
+		return
+	}
+	s := &sheet{key: e.Key}
+	for _, one := range rec.Machines {
+		if r.machines[one.Name] != nil {
+			continue // a sheet that was written late
+		}
+		m := r.addMachine(one.Name, one.Type, one.Zone, one.Spot, now)
+		m.addr = one.Addr
+		m.cpus, m.gpus, m.memory = one.CPUs, one.GPUs, one.MemoryGB
+		m.roster, m.sheet = rosterDurable, s
+		s.members = append(s.members, m)
+		r.toGreet = append(r.toGreet, m)
+		r.unheard++
+		r.unheardCPUs += m.cpus
+		r.unheardGPUs += m.gpus
+	}
+	if len(s.members) < len(rec.Machines) {
+		s.torn = true
+		r.recorder.torn = append(r.recorder.torn, s)
+	}
+}
+
 func (r *reign) addProgress(e store.Entry, now time.Time) {
 	id, first, ok := store.ParseProgressKey(e.Key)
 	if !ok {
--- a/internal/controller/trouble_test.go
+++ b/internal/controller/trouble_test.go
@@ -177,7 +177,7 @@
 			time.Sleep(time.Second)
 		}
 		w.same("second run goes on", len(k.running()), 1)
-		w.same("brought back", w.store.Has(store.MachinePrefix+"i-1"), false)
+		w.same("roster", w.roster(), []string{"i-2", "i-3"})
 		w.same("returned", w.cloud.returned, []string{"i-1"})
 		w.same("phase", w.phase(b, "job-1"), "running")
 	})
--- a/internal/store/records.go
+++ b/internal/store/records.go
@@ -45,8 +45,16 @@
 	Done []byte `json:"done"`
 }
 
+// RosterRecord is a sheet of the roster: machines that may hold tasks. Machines
+// that come together share one, or a large fleet would wait for its turn within
+// the write rate, one record each.
+type RosterRecord struct {
+	Machines []MachineRecord `json:"machines"`
+}
+
 // MachineRecord is a machine that may hold tasks.
 type MachineRecord struct {
+	Name     string  `json:"name"`
 	Addr     string  `json:"addr"`
 	Type     string  `json:"type"`
 	Zone     string  `json:"zone"`
