Settings that cannot work are refused; a takeover of 1,100 machines as a test

A share of no processor, values too small for one record and too few sockets get one clear line; large settings are no error. The test: 1,100 machines with 4,400 tasks, 100 of them dead, a crash and a second one half a second into the takeover; all live ones are heard at once, the dead are returned, no task runs twice.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -186,7 +186,7 @@
 		{"workers.cancel_s", s.Workers.CancelS}, {"state.rps", s.State.RPS},
 		{"state.write_rps", s.State.WriteRPS}, {"state.value_kb", s.State.ValueKB},
 		{"state.txn_ops", float64(s.State.TxnOps)}, {"cloud.rps", s.Cloud.RPS},
-		{"limits.ram_mb", s.Limits.RAMMB}, {"limits.fd_limit", float64(s.Limits.FDLimit)},
+		{"limits.cores", s.Limits.Cores}, {"limits.ram_mb", s.Limits.RAMMB}, {"limits.fd_limit", float64(s.Limits.FDLimit)},
 	} {
 		if !(p.v > 0) || math.IsInf(p.v, 0) {
 			return fmt.Errorf("field settings.%s: must be above 0, found %v", p.field, p.v)
@@ -195,6 +195,12 @@
 	if s.State.TxnOps < 5 {
 		return fmt.Errorf("field settings.state.txn_ops: at least 5 are needed, found %d", s.State.TxnOps)
 	}
+	if s.State.ValueKB < leastValueKB {
+		return fmt.Errorf("field settings.state.value_kb: at least %v is needed for one record, found %v", leastValueKB, s.State.ValueKB)
+	}
+	if s.Limits.FDLimit < leastSockets {
+		return fmt.Errorf("field settings.limits.fd_limit: at least %d are needed, found %d", leastSockets, s.Limits.FDLimit)
+	}
 	if s.Workers.LeaseS <= s.Workers.ReportS {
 		return fmt.Errorf("field settings.workers.lease_s: %v is not longer than report_s %v", s.Workers.LeaseS, s.Workers.ReportS)
 	}
@@ -204,6 +210,14 @@
 	return nil
 }
 
+const (
+	// leastValueKB holds the record of one job.
+	leastValueKB = 1.0
+	// leastSockets are those for the outside services, the other controllers
+	// and a few users and workers.
+	leastSockets = 64
+)
+
 func notNegative(v float64) bool { return v >= 0 && !math.IsInf(v, 0) }
 
 func checkAddr(addr string) error {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 )
@@ -20,6 +21,20 @@
 	}
 }
 
+// Large numbers are no error.
+func TestLargeSettings(t *testing.T) {
+	var teams []string
+	for i := range 2000 {
+		teams = append(teams, fmt.Sprintf(`{"name":"t%d","cpus":1e5,"cpus_max":1e7}`, i))
+	}
+	s, err := Parse([]byte(strings.NewReplacer(`{"name":"t","cpus":1,"cpus_max":2}`, strings.Join(teams, ","),
+		`"rps":80,"write_rps":25,"value_kb":16,"txn_ops":20`, `"rps":1e6,"write_rps":1e6,"value_kb":1e4,"txn_ops":100000`,
+		`"fd_limit":800`, `"fd_limit":1000000`).Replace(good)))
+	if err != nil || len(s.Site.Teams) != 2000 {
+		t.Error(err)
+	}
+}
+
 func TestBadSettingsNameTheField(t *testing.T) {
 	for _, c := range []struct{ old, new, want string }{
 		{`{"node"`, `"node"`, "not valid JSON"},
@@ -32,6 +47,9 @@
 		{`"lease_s":24`, `"lease_s":2`, "lease_s"},
 		{`"write_rps":25`, `"write_rps":0`, "write_rps"},
 		{`"txn_ops":20`, `"txn_ops":2`, "txn_ops"},
+		{`"cores":0.06`, `"cores":0`, "limits.cores"},
+		{`"value_kb":16`, `"value_kb":0.5`, "value_kb"},
+		{`"fd_limit":800`, `"fd_limit":3`, "fd_limit"},
 		{`[{"name":"t","cpus":1,"cpus_max":2}]`, `[]`, "teams"},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1)))
--- a/internal/controller/direct_test.go
+++ b/internal/controller/direct_test.go
@@ -359,3 +359,63 @@
 		w.same("repeated", len(ks[1].running()), 2)
 	})
 }
+
+// A fleet as large as any: a crash, machines that die together, and a second
+// crash in the middle of the takeover. All that live are heard by greetings, none
+// of them is returned, and no task begins again while it may run.
+func TestTakeoverOfALargeFleet(t *testing.T) {
+	play(t, func(w *world) {
+		const fleet, fallen = 1100, 100
+		w.teams[0].CPUs, w.teams[0].CPUsMax = 5000, 5000
+		d := &wire{machines: map[string]*worker{}}
+		w.director, w.reportS = d, 5
+		a := w.start("n0")
+		w.submit(a, spec("job-1", 5000))
+		var ks []*worker
+		for i := range fleet {
+			k := w.worker(fmt.Sprintf("i-%04d", i), "a", false)
+			d.machines[k.rep.Machine] = k
+			ks = append(ks, k)
+		}
+		once := func(tasks map[string]bool, k *worker) {
+			for _, task := range k.running() {
+				if tasks[task] {
+					t.Fatalf("%s runs twice", task)
+				}
+				tasks[task] = true
+			}
+		}
+		round := func(n *node, ks []*worker) (running int) {
+			for _, k := range ks {
+				k.report(n)
+			}
+			time.Sleep(time.Second)
+			tasks := map[string]bool{}
+			for _, k := range d.machines {
+				if !w.cloud.gone(k.rep.Machine) {
+					once(tasks, k)
+				}
+			}
+			return len(tasks)
+		}
+		for range 4 {
+			round(a, ks)
+		}
+		w.same("running", round(a, ks), 4*fleet)
+		a.crash()
+		for _, k := range ks[:fallen] {
+			w.dead.Store(k.rep.Machine, true)
+		}
+		b := w.start("n0") // half a second of it
+		b.crash()
+		c := w.start("n0")
+		time.Sleep(500 * time.Millisecond)
+		c.look(func(c *Controller) { w.same("unheard after a second", c.reign.unheard <= fallen, true) })
+		for range 6 {
+			round(c, ks[fallen:])
+		}
+		c.look(func(c *Controller) { w.same("unheard", c.reign.unheard, 0) })
+		w.same("returned", len(w.cloud.returned), fallen)
+		w.same("running again", round(c, ks[fallen:]), 4*(fleet-fallen))
+	})
+}
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -224,7 +224,8 @@
 		Objectives: []config.Objective{{Kind: "finished", Class: "c", WithinS: 90}},
 		Workers:    config.Workers{ReportS: max(1, w.reportS), LeaseS: max(10, 5*w.reportS), CancelS: 30},
 		State:      config.StateLimits{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
-		Cloud:      config.CloudLimits{RPS: 5, ListLagS: 4}}}
+		Cloud:      config.CloudLimits{RPS: 5, ListLagS: 4},
+		Limits:     config.Limits{FDLimit: 2400}}}
 	if peers != nil {
 		for _, other := range []string{"n0", "n1", "n2"} {
 			if other != name && (other != "n2" || w.zones["n2"] != "") {
