A leader without a way to its machines sends no orders there and takes none for dead

While the leader could not reach its machines some 50 orders a second failed; each held its tasks for a second and its machine for 5 s (debug log: 3,700 of 6,000 CPUs at work). The first 15 machines missed were returned, before most were missed.

After four failures in a row one order is tried every 3 s; machines whose reports are passed on get starts in answers only; and where nearly nobody of a zone has reported for 2 s, it is a cut.

--- a/internal/controller/direct.go
+++ b/internal/controller/direct.go
@@ -38,6 +38,12 @@
 	directAbove = 2 * time.Second
 	dispatchFor = 1500 * time.Millisecond
 	directWait  = 1500 * time.Millisecond
+	// directFailsMost is how many orders in a row may find no way to their
+	// machines, and directPause for how long none are sent then: the leader
+	// may have lost the way to all of them, and each order holds its tasks
+	// for a while, and its machine for longer.
+	directFailsMost = 4
+	directPause     = 3 * time.Second
 )
 
 // directStart is a start that was sent straight to a machine.
@@ -70,12 +76,16 @@
 	if r.c.Director == nil || r.c.Settings.Site.Workers.Report() <= directAbove || now.After(r.dispatchUntil) {
 		return
 	}
-	if !r.anyWaits() {
+	if !r.anyWaits() || now.Before(r.directFrom) {
 		return
 	}
+	most := r.dials
+	if r.directFails >= directFailsMost {
+		most = 1 // to see whether the way is open again
+	}
 	var ms []*machine
 	for _, m := range r.machines {
-		if m.open(now) && !m.ordering && m.unheeded == 0 && m.freeCPUs() > slack && m.addr != "" &&
+		if m.open(now) && !m.ordering && !m.passed && m.unheeded == 0 && m.freeCPUs() > slack && m.addr != "" &&
 			now.Sub(m.lastReport) <= r.hearable() {
 			ms = append(ms, m)
 		}
@@ -84,7 +94,7 @@
 		return cmp.Or(cmp.Compare(r.renter.cpuPrice(a), r.renter.cpuPrice(b)), cmp.Compare(a.freeCPUs(), b.freeCPUs()), cmp.Compare(a.name, b.name))
 	})
 	for _, m := range ms {
-		if r.ordering >= r.dials {
+		if r.ordering >= most {
 			return
 		}
 		if orders := r.place(m, nil, now); len(orders) > 0 {
@@ -136,6 +146,11 @@
 	}
 	o.m.ordering = false
 	o.r.ordering--
+	if o.err == nil {
+		o.r.directFails = 0
+	} else if o.r.directFails++; o.r.directFails >= directFailsMost {
+		o.r.directFrom = time.Now().Add(directPause)
+	}
 	if o.m.gone {
 		return
 	}
--- a/internal/controller/direct_test.go
+++ b/internal/controller/direct_test.go
@@ -419,3 +419,70 @@
 		w.same("running again", round(c, ks[fallen:]), 4*(fleet-fallen))
 	})
 }
+
+// A leader that loses the way to all its machines keeps nearly all of their
+// tasks and room out of direct orders that cannot arrive, and does not take the
+// first machines that it misses for dead. Those that reach it through another
+// node get their starts in answers.
+func TestLeaderWithoutAWayToItsMachines(t *testing.T) {
+	play(t, func(w *world) {
+		const fleet = 50
+		w.teams[0].CPUs, w.teams[0].CPUsMax = 500, 500
+		d := &wire{machines: map[string]*worker{}}
+		w.director, w.reportS = d, 5
+		a := w.start("n0")
+		w.submit(a, spec("job-1", fleet))
+		var ks []*worker
+		for i := range fleet {
+			k := w.worker(fmt.Sprintf("i-%02d", i), "a", false)
+			d.machines[k.rep.Machine] = k
+			ks = append(ks, k)
+		}
+		for range 4 { // reports spread over 5 s
+			for _, k := range ks {
+				k.report(a)
+				time.Sleep(5 * time.Second / fleet)
+			}
+		}
+		for _, k := range ks {
+			w.dead.Store(k.rep.Machine, true)
+		}
+		d.set(true, false)
+		d.sent = 0
+		w.submit(a, spec("job-2", 100))
+		for range 9 {
+			w.submit(a, spec(fmt.Sprint("job-3", time.Now().Unix()), 1))
+			time.Sleep(800 * time.Millisecond)
+		}
+		if d.sent == 0 || d.sent > 40 {
+			t.Errorf("%d direct orders", d.sent)
+		}
+		w.same("taken for dead", w.cloud.returned, []string(nil))
+		d.set(false, false)
+		pass := func(k *worker) {
+			k.rep.Seq++
+			rep := k.rep
+			rep.Tasks = slices.Clone(k.rep.Tasks)
+			ans, err := a.PassedReport(context.Background(), &rep)
+			if err != nil {
+				t.Fatal(err)
+			}
+			k.obey(ans.Orders)
+		}
+		d.sent = 0
+		for range 3 {
+			for _, k := range ks {
+				pass(k)
+			}
+			time.Sleep(2 * time.Second)
+		}
+		running := 0
+		for _, k := range ks {
+			running += len(k.running())
+		}
+		w.same("running", running, fleet+100+9)
+		w.submit(a, spec("job-4", 4))
+		time.Sleep(time.Second)
+		w.same("sent straight to machines out of reach", d.sent, 0)
+	})
+}
--- a/internal/controller/gate.go
+++ b/internal/controller/gate.go
@@ -75,6 +75,9 @@
 			return
 		}
 		ans, err := c.reign.report(m.rep, now)
+		if mc := c.reign.machines[m.rep.Machine]; mc != nil {
+			mc.passed = m.passed
+		}
 		m.reply <- reportReply{ans: ans, err: err}
 		return
 	}
--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -214,6 +214,9 @@
 	// held keeps new tasks off while orders for it are on their way through the
 	// state service.
 	held bool
+	// passed is set if its last report was passed on by another node: it may
+	// be out of this node's reach.
+	passed bool
 	// sentOn is when the machine was last told to report to a nearer node.
 	sentOn time.Time
 	// kept is until when another node is known to keep the machine alive.
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -61,6 +61,10 @@
 	// given work directly; ordering is to how many such orders are on the way.
 	dispatchUntil time.Time
 	ordering      int
+	// directFails is how many direct orders in a row have failed, and
+	// directFrom from when on the next may be sent.
+	directFails int
+	directFrom  time.Time
 	// startWithin is within what time work within a guarantee should start.
 	startWithin time.Duration
 	// grace is how long what waits is left to better machines.
--- a/internal/controller/silence.go
+++ b/internal/controller/silence.go
@@ -21,6 +21,10 @@
 	// deafAfter is how many times in a row a machine may carry out no orders
 	// while it answers probes.
 	deafAfter = 4
+	// freshFor is how recent a report is that came just now. Among fewMachines
+	// nothing is read from how many of those there are.
+	freshFor    = 2 * time.Second
+	fewMachines = 10
 	// settleIn is what machines are given to find a new leader before they
 	// are probed.
 	settleIn = 1500 * time.Millisecond
@@ -42,7 +46,7 @@
 		}
 		return m.unheeded > 0 || now.Sub(m.lastSeen) > w.Report()*5/4+time.Second
 	}
-	all, quiet := map[string]int{}, map[string]int{}
+	all, quiet, fresh := map[string]int{}, map[string]int{}, map[string]int{}
 	for _, m := range r.machines {
 		if m.gone || m.returning {
 			continue
@@ -51,13 +55,21 @@
 		if suspect(m) {
 			quiet[m.zone]++
 		}
+		if now.Sub(m.lastReport) < freshFor {
+			fresh[m.zone]++
+		}
 	}
+	// How many of a zone's machines should have reported just now.
+	due := min(1, freshFor.Seconds()/w.ReportS)
 	for _, m := range r.machines {
 		if m.gone || m.returning || !suspect(m) {
 			continue
 		}
 		r.probe(m, now)
-		cut := quiet[m.zone] >= 3 && quiet[m.zone]*5 > all[m.zone]*3
+		cut := quiet[m.zone] >= 3 && quiet[m.zone]*5 > all[m.zone]*3 ||
+			// The first to be missed when all fall silent at once are not
+			// dead: nearly nobody has reported since.
+			m.heard && float64(fresh[m.zone]) < due*float64(all[m.zone])/5 && all[m.zone] >= fewMachines
 		if cut {
 			r.readKept(now)
 		}
