Work that saves nothing begins on machines that stay, as far as they have room

Merit saves nothing and went to spot machines first, being the cheaper ones, while betyg, which saves every 15 s, took the room of the others.

Which machine is left to a job now counts 8 s for work that saves nothing on a spot machine, and for work that saves on another. Nothing waits for it longer than before.

Also: the log's times of jobs adopted at a takeover.

--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -98,6 +98,15 @@
 // begun tells whether any task has begun or is about to.
 func (j *job) begun() bool { return len(j.live) > 0 || j.doneCount > 0 || !j.firstStart.IsZero() }
 
+// after is how long after its acceptance something happened to the job, for the
+// log; 0 if this leader has not seen it.
+func (j *job) after(at time.Time) time.Duration {
+	if at.IsZero() {
+		return 0
+	}
+	return at.Sub(j.accepted).Round(time.Second / 10)
+}
+
 // behind tells whether the job gives way to others although it has waited long.
 func (j *job) behind(now time.Time) bool {
 	return (j.hopeless || j.load.Defer) && now.Sub(j.accepted) > longWait
--- a/internal/controller/recorder.go
+++ b/internal/controller/recorder.go
@@ -306,8 +306,7 @@
 		}
 	}
 	r.c.Log.Debug("job done", "job", j.spec.ID, "class", j.spec.Class, "tasks", j.spec.Tasks,
-		"lost", j.lost, "firstStart", j.firstStart.Sub(j.accepted).Round(time.Second/10),
-		"lastStart", j.lastStart.Sub(j.accepted).Round(time.Second/10), "estimate", j.spec.EstimateS, "longest", j.longest.Round(time.Second/10),
+		"lost", j.lost, "firstStart", j.after(j.firstStart), "lastStart", j.after(j.lastStart), "estimate", j.spec.EstimateS, "longest", j.longest.Round(time.Second/10),
 		"late", math.Round(time.Since(j.aims[0]).Seconds()))
 }
 
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -565,6 +565,12 @@
 	return rate > 0 && j.spec.ImageGB/rate < 2*r.c.Settings.Site.Workers.ReportS
 }
 
+// misplaced is what it counts for, in seconds, if work that saves nothing is on a
+// machine that the cloud may take back, or work that does on one of the others,
+// where it takes the room of that which does not. Nearly all jobs that were late
+// while the fleet had room had lost tasks to machines taken.
+const misplaced = 8
+
 // strain is how badly a machine suits a job, in seconds lost: the time to
 // fetch the image, and a measure of what it costs to keep the machine.
 func (r *reign) strain(j *job, m *machine) float64 {
@@ -579,6 +585,9 @@
 	if p := r.renter.cpuPrice(m); p > 0 {
 		lost += p/r.renter.cheapest() - 1
 	}
+	if m.spot != (j.spec.CheckpointS > 0) {
+		lost += misplaced
+	}
 	return lost + m.freeCPUs()/m.cpus
 }
 
--- a/internal/controller/room_test.go
+++ b/internal/controller/room_test.go
@@ -71,3 +71,31 @@
 		})
 	})
 }
+
+// Work that saves nothing begins on machines that stay, work that does on those
+// that the cloud may take back, as long as there is room.
+func TestSpotMachinesForWorkThatSaves(t *testing.T) {
+	play(t, func(w *world) {
+		w.teams[0].CPUsMax = 100
+		a := w.start("n0")
+		stays, spot := w.worker("i-1", "a", false), w.worker("i-2", "a", true)
+		both := func(n int) {
+			for range n {
+				spot.report(a) // it is the cheaper one, and asks first
+				stays.report(a)
+				time.Sleep(time.Second)
+			}
+		}
+		both(3)
+		plain, saves := spec("job-1", 2), spec("job-2", 2)
+		saves.CheckpointS, saves.SaveS = 5, 1
+		w.submit(a, plain)
+		w.submit(a, saves)
+		both(3)
+		w.same("on the machine that stays", stays.running(), []string{"job-1/0", "job-1/1"})
+		w.same("on the machine that may be taken", spot.running(), []string{"job-2/0", "job-2/1"})
+		w.submit(a, spec("job-3", 4))
+		both(4)
+		w.same("all have begun", len(stays.running())+len(spot.running()), 8)
+	})
+}
