--- a/internal/controller/apart_test.go
+++ b/internal/controller/apart_test.go
@@ -58,8 +58,10 @@
 			t.Error(err)
 		}
 		w.same("cancelled, at the refused node", w.phase(a, "job-1"), "withdrawn")
-		k.either(a, b)
-		k.either(a, b)
+		for range 4 { // the next leader hears of it through its watch
+			k.either(a, b)
+			time.Sleep(time.Second)
+		}
 		w.same("stopped", len(k.running()), 0)
 		ga.set(false)
 		time.Sleep(20 * time.Second)
