--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net/http"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -19,6 +18,7 @@
 	"example.org/ivytrestle/internal/config"
 	"example.org/ivytrestle/internal/controller"
 	"example.org/ivytrestle/internal/election"
+	"example.org/ivytrestle/internal/httpd"
 	"example.org/ivytrestle/internal/netio"
 	"example.org/ivytrestle/internal/peer"
 	"example.org/ivytrestle/internal/policy"
@@ -85,22 +85,14 @@
 	go cand.Run(ctx)
 	failed := make(chan error, 2)
 	go func() { failed <- peer.Serve(ctx, peerLn, peerHandler{c}, log) }()
-	srv := &http.Server{
-		Handler:           api.Handler(c, log),
-		ReadHeaderTimeout: 10 * time.Second,
-		ReadTimeout:       15 * time.Second,
-		WriteTimeout:      15 * time.Second,
-		IdleTimeout:       90 * time.Second,
-		MaxHeaderBytes:    8 << 10,
-		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-	}
 	// Sockets are kept for the outside services and the peers.
-	srv.ConnState = newCrowd(max(16, s.Site.Limits.FDLimit*7/10)).watch
+	crowd := newCrowd(max(16, s.Site.Limits.FDLimit*7/10))
+	srv := &httpd.Server{Handler: api.Handler(c, log), ConnState: crowd.watch, Log: log}
 	go func() { failed <- srv.Serve(apiLn) }()
 	log.Info("started", "node", s.Node, "zone", s.Zone, "api", s.APIAddr, "pid", os.Getpid())
 	select {
 	case <-ctx.Done():
-		srv.Close()
+		apiLn.Close()
 		return nil
 	case err := <-failed:
 		return err
--- /dev/null
+++ b/internal/httpd/httpd.go
@@ -0,0 +1,349 @@
+// Package httpd serves an http.Handler on connections that mostly sit idle. A
+// plain request that fits a buffer is read with one system call, parsed by
+// net/http, and answered with one more; idle connections hold no buffer. All
+// that is not plain is passed on to a server of net/http, connection and all.
+//
+// The server of net/http watches each connection while its request is served,
+// and sets three deadlines for each; on the smallest controllers that took more
+// of the processor than what the requests were about.
+package httpd
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"time"
+
+	"example.org/ivytrestle/internal/netio"
+)
+
+const (
+	// bufferSize holds any plain request; larger ones are passed on.
+	bufferSize = 16 << 10
+	maxHead    = 8 << 10
+	// idleFor is how long a connection may be silent between requests, and
+	// arriveIn how long a request may take to arrive. Deadlines are set anew
+	// only when refreshAfter has passed, or each request would set two.
+	idleFor      = 90 * time.Second
+	arriveIn     = 15 * time.Second
+	writeIn      = 30 * time.Second
+	refreshAfter = 15 * time.Second
+)
+
+// Server serves a handler.
+type Server struct {
+	Handler http.Handler
+	// ConnState is told of each connection like that of an http.Server.
+	ConnState func(net.Conn, http.ConnState)
+	Log       *slog.Logger
+
+	buffers sync.Pool
+	readers sync.Pool
+}
+
+// Serve serves the connections of a listener until that is closed.
+func (s *Server) Serve(ln net.Listener) error {
+	s.buffers.New = func() any { return new([bufferSize]byte) }
+	s.readers.New = func() any { return bufio.NewReader(nil) }
+	rest := newHandover(ln.Addr())
+	defer rest.Close()
+	std := &http.Server{
+		Handler:           s.Handler,
+		ReadHeaderTimeout: 10 * time.Second,
+		ReadTimeout:       arriveIn,
+		WriteTimeout:      15 * time.Second,
+		IdleTimeout:       idleFor,
+		MaxHeaderBytes:    maxHead,
+		ConnState:         s.ConnState,
+		ErrorLog:          slog.NewLogLogger(s.Log.Handler(), slog.LevelDebug),
+	}
+	go std.Serve(rest) // ends with rest
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			var temporary interface{ Temporary() bool }
+			if errors.As(err, &temporary) && temporary.Temporary() {
+				s.Log.Debug("accept", "err", err)
+				time.Sleep(20 * time.Millisecond)
+				continue
+			}
+			return err
+		}
+		plain, ok := conn.(*netio.Conn)
+		if !ok {
+			rest.pass(conn, nil)
+			continue
+		}
+		go s.serve(plain, rest)
+	}
+}
+
+// served is one connection.
+type served struct {
+	s      *Server
+	conn   *netio.Conn
+	remote string
+	// partial is the part of a request that has arrived, passOn is set if it is
+	// not plain.
+	partial []byte
+	passOn  bool
+	// until are the deadlines set.
+	readUntil, writeUntil time.Time
+}
+
+func (s *Server) serve(conn *netio.Conn, rest *handover) {
+	c := &served{s: s, conn: conn, remote: conn.RemoteAddr().String()}
+	s.state(conn, http.StateNew)
+	c.extend(idleFor)
+	err := conn.Each(c.step)
+	s.state(conn, http.StateClosed)
+	if err == nil && c.passOn {
+		conn.SetDeadline(time.Time{})
+		rest.pass(conn, c.partial)
+		return
+	}
+	conn.Close()
+}
+
+func (s *Server) state(conn net.Conn, st http.ConnState) {
+	if s.ConnState != nil {
+		s.ConnState(conn, st)
+	}
+}
+
+// extend sets the read deadline if the one set would come much sooner.
+func (c *served) extend(d time.Duration) {
+	if until := time.Now().Add(d); until.Sub(c.readUntil) > refreshAfter || c.readUntil.After(until) {
+		c.readUntil = until
+		c.conn.SetReadDeadline(until)
+	}
+}
+
+// step reads what has arrived and serves it.
+func (c *served) step(read func(p []byte) (int, error)) netio.Next {
+	buf := c.s.buffers.Get().(*[bufferSize]byte)
+	n, err := read(buf[:])
+	if err != nil {
+		c.s.buffers.Put(buf)
+		if err == netio.ErrNothing {
+			return netio.Wait
+		}
+		return netio.Stop
+	}
+	p := buf[:n]
+	if c.partial != nil {
+		p = append(c.partial, p...)
+	} else {
+		c.s.state(c.conn, http.StateActive)
+	}
+	req, rest, plain := c.s.parse(p)
+	c.partial = nil
+	if len(rest) > 0 {
+		c.partial = bytes.Clone(rest)
+	}
+	c.s.buffers.Put(buf) // not held while the request is served
+	for {
+		switch {
+		case !plain:
+			c.passOn = true
+			return netio.Stop
+		case req == nil && c.partial != nil:
+			c.extend(arriveIn)
+		case req == nil:
+			c.s.state(c.conn, http.StateIdle)
+			c.extend(idleFor)
+		}
+		if req == nil {
+			if n < bufferSize {
+				return netio.Wait
+			}
+			return netio.Again
+		}
+		if !c.answer(req) {
+			return netio.Stop
+		}
+		req, plain = nil, true
+		if c.partial != nil {
+			req, c.partial, plain = c.s.parse(c.partial)
+		}
+	}
+}
+
+var endOfHead = []byte("\r\n\r\n")
+
+// parse reads a request, and returns what follows it. The request is nil if more
+// of it must arrive, and plain is unset if it is not for this server to serve;
+// what follows is then all of it.
+func (s *Server) parse(p []byte) (req *http.Request, rest []byte, plain bool) {
+	head := bytes.Index(p, endOfHead)
+	if head < 0 || head > maxHead {
+		return nil, p, head < 0 && len(p) < bufferSize
+	}
+	head += len(endOfHead)
+	r := s.readers.Get().(*bufio.Reader)
+	r.Reset(bytes.NewReader(p[:head]))
+	req, err := http.ReadRequest(r)
+	r.Reset(nil)
+	s.readers.Put(r)
+	if err != nil || !req.ProtoAtLeast(1, 1) || req.ContentLength < 0 || len(req.TransferEncoding) > 0 ||
+		req.Header["Expect"] != nil || req.Header["Upgrade"] != nil || req.Host == "" || req.Header["Trailer"] != nil ||
+		(req.Method != http.MethodGet && req.Method != http.MethodPost) || req.ContentLength > bufferSize-int64(head) {
+		return nil, p, false // net/http knows what to do
+	}
+	n := head + int(req.ContentLength)
+	if len(p) < n {
+		return nil, p, true
+	}
+	req.Body = http.NoBody
+	if n > head {
+		// The handler may keep what it reads for longer than the buffer is free.
+		req.Body = io.NopCloser(bytes.NewReader(bytes.Clone(p[head:n])))
+	}
+	return req, p[n:], true
+}
+
+// answer serves a request, and tells whether the connection goes on.
+func (c *served) answer(req *http.Request) (goesOn bool) {
+	req.RemoteAddr = c.remote
+	w := &response{header: http.Header{}}
+	if !c.handle(w, req) {
+		return false
+	}
+	if now := time.Now(); c.writeUntil.Sub(now) < writeIn-refreshAfter {
+		c.writeUntil = now.Add(writeIn)
+		c.conn.SetWriteDeadline(c.writeUntil)
+	}
+	ends := req.Close || w.header.Get("Connection") == "close"
+	if _, err := c.conn.Write(w.encode(ends)); err != nil {
+		return false
+	}
+	return !ends
+}
+
+// handle calls the handler. One that panics costs its connection, like that of
+// an http.Server.
+func (c *served) handle(w http.ResponseWriter, req *http.Request) (ok bool) {
+	defer func() {
+		if v := recover(); v != nil && v != http.ErrAbortHandler {
+			c.s.Log.Error("request", "path", req.URL.Path, "panic", v, "stack", string(debug.Stack()))
+		}
+	}()
+	c.s.Handler.ServeHTTP(w, req)
+	return true
+}
+
+// response gathers an answer, so that it is sent with one write.
+type response struct {
+	header http.Header
+	status int
+	body   []byte
+}
+
+// Header implements http.ResponseWriter.
+func (w *response) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *response) WriteHeader(status int) {
+	if w.status == 0 {
+		w.status = status
+	}
+}
+
+// Write implements http.ResponseWriter.
+func (w *response) Write(p []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	w.body = append(w.body, p...)
+	return len(p), nil
+}
+
+// encode is the answer as it goes over the wire.
+func (w *response) encode(ends bool) []byte {
+	w.WriteHeader(http.StatusOK)
+	out := make([]byte, 0, 160+len(w.body))
+	out = append(out, "HTTP/1.1 "...)
+	out = strconv.AppendInt(out, int64(w.status), 10)
+	out = append(out, ' ')
+	out = append(out, http.StatusText(w.status)...)
+	out = append(out, "\r\n"...)
+	for name, values := range w.header {
+		if name == "Content-Length" || name == "Connection" {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, name...)
+			out = append(out, ": "...)
+			out = append(out, v...)
+			out = append(out, "\r\n"...)
+		}
+	}
+	if ends {
+		out = append(out, "Connection: close\r\n"...)
+	}
+	out = append(out, "Content-Length: "...)
+	out = strconv.AppendInt(out, int64(len(w.body)), 10)
+	out = append(out, "\r\n\r\n"...)
+	return append(out, w.body...)
+}
+
+// handover is the listener of the server that serves what is not plain.
+type handover struct {
+	addr  net.Addr
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func newHandover(addr net.Addr) *handover {
+	return &handover{addr: addr, conns: make(chan net.Conn), done: make(chan struct{})}
+}
+
+// pass passes a connection on, with what was read of it.
+func (h *handover) pass(conn net.Conn, read []byte) {
+	select {
+	case h.conns <- &replayed{Conn: conn, read: read}:
+	case <-h.done:
+		conn.Close()
+	}
+}
+
+// Accept implements net.Listener.
+func (h *handover) Accept() (net.Conn, error) {
+	select {
+	case conn := <-h.conns:
+		return conn, nil
+	case <-h.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (h *handover) Close() error {
+	h.once.Do(func() { close(h.done) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (h *handover) Addr() net.Addr { return h.addr }
+
+// replayed is a connection of which something has been read already.
+type replayed struct {
+	net.Conn
+	read []byte
+}
+
+// Read implements net.Conn.
+func (r *replayed) Read(p []byte) (int, error) {
+	if len(r.read) > 0 {
+		n := copy(p, r.read)
+		r.read = r.read[n:]
+		return n, nil
+	}
+	return r.Conn.Read(p)
+}
--- /dev/null
+++ b/internal/httpd/httpd_test.go
@@ -0,0 +1,168 @@
+package httpd
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"example.org/ivytrestle/internal/netio"
+)
+
+// echo answers with what it was asked, and how the request got here.
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if r.URL.Path == "/panic" {
+		panic("on purpose")
+	}
+	w.Header().Set("Content-Type", "text/plain")
+	_, std := w.(http.Flusher)
+	fmt.Fprintf(w, "%s %s %d std=%v %.20s", r.Method, r.URL, len(body), std, body)
+}
+
+func start(t *testing.T) string {
+	t.Helper()
+	ln, err := netio.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{Handler: http.HandlerFunc(echo), Log: slog.New(slog.DiscardHandler)}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ln) }()
+	t.Cleanup(func() { ln.Close(); <-done })
+	return ln.Addr().String()
+}
+
+// client writes pieces of requests and reads answers.
+type client struct {
+	t *testing.T
+	net.Conn
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, addr string) *client {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return &client{t, conn, bufio.NewReader(conn)}
+}
+
+func (c *client) send(s string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, s); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *client) expect(status int, body string) {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if resp.StatusCode != status || !strings.HasPrefix(string(raw), body) {
+		c.t.Errorf("%d %q, want %d %q", resp.StatusCode, raw, status, body)
+	}
+}
+
+func TestPlainRequests(t *testing.T) {
+	c := dial(t, start(t))
+	c.send("GET /a?b=c HTTP/1.1\r\nHost: x\r\n\r\n")
+	c.expect(200, "GET /a?b=c 0 std=false")
+	c.send("POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello")
+	c.expect(200, "POST /b 5 std=false hello")
+	// In pieces, the second of two close behind it.
+	for _, piece := range []string{"POST /c HT", "TP/1.1\r\nHost: x\r\nContent-Len", "gth: 4\r\n\r\nab", "cdGET /d HTTP/1.1\r\nHost: x\r\n\r\nGET /e HTT"} {
+		c.send(piece)
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.expect(200, "POST /c 4 std=false abcd")
+	c.expect(200, "GET /d 0 std=false")
+	c.send("P/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+	c.expect(200, "GET /e 0 std=false")
+	if _, err := c.r.ReadByte(); err != io.EOF {
+		t.Errorf("not closed: %v", err)
+	}
+}
+
+// What is not plain is served as net/http serves it, on the same connection.
+func TestTheRestGoesToNetHTTP(t *testing.T) {
+	addr := start(t)
+	for _, one := range []struct {
+		request, want string
+		status        int
+	}{
+		{"POST /chunked HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "POST /chunked 3 std=true abc", 200},
+		{"PUT /put HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab", "PUT /put 2 std=true ab", 200},
+		{"GET /old HTTP/1.0\r\n\r\n", "GET /old 0 std=true", 200},
+		{"GET /nohost HTTP/1.1\r\n\r\n", "400 Bad Request", 400},
+		{"nonsense\r\n\r\n", "400 Bad Request", 400},
+		{"POST /large HTTP/1.1\r\nHost: x\r\nContent-Length: 40000\r\n\r\n" + strings.Repeat("y", 40000), "POST /large 40000 std=true yyyy", 200},
+		{"GET /many HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("z", 13000) + "\r\n\r\n", "431 ", 431},
+	} {
+		c := dial(t, addr)
+		c.send(one.request)
+		c.expect(one.status, one.want)
+	}
+	c := dial(t, addr)
+	c.send("POST /expect HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+	if line, err := c.r.ReadString('\n'); err != nil || !strings.Contains(line, "100 Continue") {
+		t.Fatal(line, err)
+	}
+	c.r.ReadString('\n')
+	c.send("abc")
+	c.expect(200, "POST /expect 3 std=true abc")
+	c.send("GET /after HTTP/1.1\r\nHost: x\r\n\r\n")
+	c.expect(200, "GET /after")
+}
+
+// A handler that panics costs its own connection and nothing else.
+func TestPanicsCostOneConnection(t *testing.T) {
+	addr := start(t)
+	c := dial(t, addr)
+	c.send("GET /panic HTTP/1.1\r\nHost: x\r\n\r\n")
+	if _, err := c.r.ReadByte(); err != io.EOF {
+		t.Errorf("not closed: %v", err)
+	}
+	c = dial(t, addr)
+	c.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+	c.expect(200, "GET /a")
+}
+
+// A connection that its client closes is closed here, served or not.
+func TestClosedByTheClient(t *testing.T) {
+	ln, err := netio.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	states := make(chan http.ConnState, 16)
+	s := &Server{Handler: http.HandlerFunc(echo), Log: slog.New(slog.DiscardHandler),
+		ConnState: func(_ net.Conn, st http.ConnState) { states <- st }}
+	go s.Serve(ln)
+	t.Cleanup(func() { ln.Close() })
+	c := dial(t, ln.Addr().String())
+	c.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+	c.expect(200, "GET /a")
+	c.Close()
+	for _, want := range []http.ConnState{http.StateNew, http.StateActive, http.StateIdle, http.StateClosed} {
+		if got := <-states; got != want {
+			t.Fatalf("%v, want %v", got, want)
+		}
+	}
+}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -98,6 +98,54 @@
 	return c.inN, nil
 }
 
+// Next is what a step of Each asks for.
+type Next int
+
+// What a step may ask for.
+const (
+	Wait  Next = iota // until more arrives
+	Again             // there may be more already
+	Stop
+)
+
+// ErrNothing means that nothing has arrived yet.
+var ErrNothing = errors.New("nothing to read")
+
+// Each calls step whenever something may have arrived, until that asks to stop
+// or the connection's deadline passes. A step reads with the function that it is
+// given, which does not wait; so it holds a buffer only while it reads.
+//
+// Where a loop of Read tries to read once more before it waits, a step that got
+// less than its buffer holds may ask to wait at once: the poller tells of what
+// arrives after it. If the connection's end came together with those bytes, it is
+// noticed only when something is written or the deadline passes.
+func (c *Conn) Each(step func(read func(p []byte) (int, error)) Next) error {
+	var at uintptr
+	read := func(p []byte) (int, error) {
+		n, errno := call(syscall.SYS_READ, at, p)
+		switch {
+		case errno == syscall.EAGAIN:
+			return 0, ErrNothing
+		case errno != 0:
+			return 0, c.failed("read", errno)
+		case n == 0:
+			return 0, io.EOF
+		}
+		return n, nil
+	}
+	return closed(c.raw.Read(func(fd uintptr) bool {
+		at = fd
+		for {
+			switch step(read) {
+			case Wait:
+				return false
+			case Stop:
+				return true
+			}
+		}
+	}))
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.out, c.outN, c.outErr = p, 0, 0
