Messages between controllers that are ready together go out together

One write took one message, and each message was followed by a read for nothing. Little, but it grows as a process lags: then more is ready at a time.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -3,14 +3,13 @@
 package peer
 
 import (
-	"bufio"
 	"context"
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -73,14 +72,17 @@
 
 func serveConn(ctx context.Context, conn net.Conn, h Handler) {
 	defer conn.Close()
-	var mu sync.Mutex
+	out := &outbox{conn: conn}
 	slots, jobs := make(chan struct{}, maxInFlight), make(chan struct{}, maxJobs)
-	r := bufio.NewReader(conn)
-	for {
-		conn.SetReadDeadline(time.Now().Add(2 * time.Minute))
+	var until time.Time
+	each(conn, func(raw []byte) error {
+		if now := time.Now(); until.Sub(now) < silentFor {
+			until = now.Add(2 * silentFor)
+			conn.SetReadDeadline(until)
+		}
 		var req Request
-		if err := read(r, &req); err != nil {
-			return
+		if err := proto.Unmarshal(raw, &req); err != nil {
+			return err
 		}
 		slots <- struct{}{}
 		go func() {
@@ -97,16 +99,18 @@
 				}
 			}
 			resp.Seq = req.Seq
-			mu.Lock()
-			defer mu.Unlock()
-			conn.SetWriteDeadline(time.Now().Add(2 * time.Second))
-			if write(conn, resp) != nil {
+			if out.send(resp, 2*time.Second) != nil {
 				conn.Close()
 			}
 		}()
-	}
+		return nil
+	})
 }
 
+// silentFor is after how long at the least a connection on which nothing arrives
+// is given up; its peer pings every second.
+const silentFor = time.Minute
+
 func respond(ctx context.Context, h Handler, req *Request) *Response {
 	resp, err := &Response{}, error(nil)
 	switch k := req.Kind.(type) {
@@ -127,38 +131,120 @@
 	return resp
 }
 
-func read(r io.Reader, m proto.Message) error {
-	var head [4]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return err
-	}
-	n := binary.BigEndian.Uint32(head[:])
-	if n > maxMessage {
-		return fmt.Errorf("peer: message of %d bytes", n)
+// each hands over the messages that arrive until the connection fails or take
+// does. What take is given is only its until it returns.
+func each(conn net.Conn, take func(raw []byte) error) error {
+	var pending []byte
+	got := func(p []byte) error {
+		if len(pending) > 0 {
+			pending = append(pending, p...)
+			p = pending
+		}
+		for len(p) >= 4 {
+			n := binary.BigEndian.Uint32(p)
+			if n > maxMessage {
+				return fmt.Errorf("peer: message of %d bytes", n)
+			}
+			if len(p)-4 < int(n) {
+				break
+			}
+			if err := take(p[4 : 4+n]); err != nil {
+				return err
+			}
+			p = p[4+n:]
+		}
+		pending = append([]byte(nil), p...)
+		return nil
 	}
-	buf := make([]byte, n)
-	if _, err := io.ReadFull(r, buf); err != nil {
-		return err
+	buf := make([]byte, 16<<10)
+	quiet, ok := conn.(*netio.Conn)
+	if !ok {
+		for {
+			n, err := conn.Read(buf)
+			if err == nil {
+				err = got(buf[:n])
+			}
+			if err != nil {
+				return err
+			}
+		}
 	}
-	return proto.Unmarshal(buf, m)
+	var failed error
+	err := quiet.Each(func(read func([]byte) (int, error)) netio.Next {
+		n, err := read(buf)
+		if err == netio.ErrNothing {
+			return netio.Wait
+		}
+		if err == nil {
+			err = got(buf[:n])
+		}
+		switch {
+		case err != nil:
+			failed = err
+			return netio.Stop
+		case n < len(buf):
+			return netio.Wait
+		}
+		return netio.Again
+	})
+	return errors.Join(err, failed)
+}
+
+// outbox writes messages to a connection. Those that are ready at the same time
+// go out together: while a process lags, many are.
+type outbox struct {
+	conn net.Conn
+
+	mu      sync.Mutex
+	ready   []byte
+	writing bool
+	until   time.Time
 }
 
-func write(w io.Writer, m proto.Message) error {
-	raw, err := proto.Marshal(m)
+// send writes a message, or leaves it to the one who writes already.
+func (o *outbox) send(m proto.Message, within time.Duration) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	at := len(o.ready)
+	ready, err := proto.MarshalOptions{}.MarshalAppend(append(o.ready, 0, 0, 0, 0), m)
 	if err != nil {
 		return err
 	}
-	buf := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(raw)), uint32(len(raw)))
-	_, err = w.Write(append(buf, raw...))
-	return err
+	binary.BigEndian.PutUint32(ready[at:], uint32(len(ready)-at-4))
+	o.ready = ready
+	if o.writing {
+		return nil
+	}
+	o.writing = true
+	defer func() { o.writing = false }()
+	for len(o.ready) > 0 {
+		o.mu.Unlock()
+		runtime.Gosched() // others that are about to send come first
+		o.mu.Lock()
+		out := o.ready
+		o.ready = nil
+		if now := time.Now(); o.until.Sub(now) < within {
+			o.until = now.Add(2 * within)
+			o.conn.SetWriteDeadline(o.until)
+		}
+		o.mu.Unlock()
+		_, err = o.conn.Write(out)
+		o.mu.Lock()
+		if err != nil {
+			o.ready = nil
+			return err
+		}
+	}
+	return nil
 }
 
 // Client asks one peer. It keeps one connection, made when first needed.
 type Client struct {
 	addr string
 
-	mu      sync.Mutex
-	conn    net.Conn
+	mu sync.Mutex
+	// out is the connection, nil while there is none.
+	out     *outbox
 	seq     uint64
 	waiting map[uint64]chan *Response
 	dialing bool
@@ -218,19 +304,15 @@
 
 func (c *Client) ask(ctx context.Context, req *Request) (*Response, error) {
 	ch := make(chan *Response, 1)
-	conn, seq, err := c.register(ctx, ch)
+	out, seq, err := c.register(ctx, ch)
 	if err != nil {
 		return nil, err
 	}
 	defer c.unregister(seq)
 	req.Seq = seq
 	sent := time.Now()
-	c.mu.Lock()
-	conn.SetWriteDeadline(sent.Add(time.Second))
-	err = write(conn, req)
-	c.mu.Unlock()
-	if err != nil {
-		c.drop(conn)
+	if err := out.send(req, time.Second); err != nil {
+		c.drop(out.conn)
 		return nil, fmt.Errorf("peer: %w", err)
 	}
 	select {
@@ -253,13 +335,13 @@
 		}
 		c.mu.Unlock()
 		if dead {
-			c.drop(conn)
+			c.drop(out.conn)
 		}
 		return nil, fmt.Errorf("peer: %w", ctx.Err())
 	}
 }
 
-func (c *Client) register(ctx context.Context, ch chan *Response) (net.Conn, uint64, error) {
+func (c *Client) register(ctx context.Context, ch chan *Response) (*outbox, uint64, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if time.Now().Before(c.downTil) || c.dialing {
@@ -268,7 +350,7 @@
 		}
 		return nil, 0, errors.New("peer: not reachable just now")
 	}
-	if c.conn == nil {
+	if c.out == nil {
 		c.dialing = true
 		c.mu.Unlock()
 		conn, err := netio.Dialer(0)(ctx, "tcp", c.addr)
@@ -282,12 +364,12 @@
 			}
 			return nil, 0, fmt.Errorf("peer: %w", err)
 		}
-		c.conn = conn
+		c.out = &outbox{conn: conn}
 		go c.receive(conn)
 	}
 	c.seq++
 	c.waiting[c.seq] = ch
-	return c.conn, c.seq, nil
+	return c.out, c.seq, nil
 }
 
 func (c *Client) unregister(seq uint64) {
@@ -297,12 +379,10 @@
 }
 
 func (c *Client) receive(conn net.Conn) {
-	r := bufio.NewReader(conn)
-	for {
+	each(conn, func(raw []byte) error {
 		var resp Response
-		if err := read(r, &resp); err != nil {
-			c.drop(conn)
-			return
+		if err := proto.Unmarshal(raw, &resp); err != nil {
+			return err
 		}
 		c.mu.Lock()
 		c.heard = time.Now()
@@ -312,7 +392,9 @@
 		if ch != nil {
 			ch <- &resp
 		}
-	}
+		return nil
+	})
+	c.drop(conn)
 }
 
 // drop gives a connection up, with all that waits on it.
@@ -320,10 +402,10 @@
 	conn.Close()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn != conn {
+	if c.out == nil || c.out.conn != conn {
 		return
 	}
-	c.conn = nil
+	c.out = nil
 	for seq, ch := range c.waiting {
 		delete(c.waiting, seq)
 		close(ch)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"errors"
+	"example.org/ivytrestle/internal/netio"
 	"io"
+	"log/slog"
 	"net"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -41,7 +45,7 @@
 func connected(t *testing.T, h Handler) (*Client, net.Conn) {
 	near, far := net.Pipe()
 	c := NewClient("nowhere")
-	c.conn = near
+	c.out = &outbox{conn: near}
 	go c.receive(near)
 	if h != nil {
 		go serveConn(t.Context(), far, h)
@@ -136,3 +140,30 @@
 		t.Errorf("report: %v", err)
 	}
 }
+
+// Many questions at a time, over a socket: their messages go out together and
+// arrive in pieces that end anywhere.
+func TestManyQuestionsOverASocket(t *testing.T) {
+	ln, err := netio.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go Serve(ctx, ln, answers{term: 9}, slog.New(slog.DiscardHandler))
+	c := NewClient(ln.Addr().String())
+	if _, err := c.Job(ctx, "job-1"); err != nil {
+		t.Fatal(err)
+	}
+	rep := &Report{Term: 9, Tasks: []*TaskReport{{Task: strings.Repeat("job-1/", 900)}}}
+	var all sync.WaitGroup
+	for range 200 {
+		all.Go(func() {
+			ans, err := c.Report(ctx, rep)
+			if err != nil || ans.Orders[0].Task != rep.Tasks[0].Task {
+				t.Errorf("%v, %v", len(ans.GetOrders()), err)
+			}
+		})
+	}
+	all.Wait()
+}
