Fewer wake-ups: a slow tick while following, no timer for each report

Cause: each timer that comes due wakes the process and the runtime's watcher, some four system calls, and a node that only follows had ten a second for nothing; package net sets four keep-alive options on each connection, of which direct starts make 14 a second. A report that has waited for three seconds is no longer taken in: its worker would drop the answer, and its orders with it.

--- a/internal/api/handlers.go
+++ b/internal/api/handlers.go
@@ -48,7 +48,6 @@
 	submitWait = 2500 * time.Millisecond
 	pollWait   = 1500 * time.Millisecond
 	abortWait  = 3 * time.Second
-	reportWait = 2 * time.Second
 )
 
 // Handler serves users, workers and health checks.
@@ -204,9 +203,7 @@
 		s.fail(w, http.StatusBadRequest, err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), reportWait)
-	defer cancel()
-	ans, err := s.b.Report(ctx, rep)
+	ans, err := s.b.Report(r.Context(), rep)
 	var other *NotLeaderError
 	switch {
 	case errors.As(err, &other) && other.Leader != "":
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -98,7 +98,24 @@
 	}
 }
 
-const tickInterval = 100 * time.Millisecond
+// A leader looks at what waits every tickInterval; a node that follows has
+// nothing that cannot wait longer, and each look wakes the process.
+const (
+	tickInterval   = 100 * time.Millisecond
+	followInterval = 500 * time.Millisecond
+)
+
+// ticks sets the ticker for what the node is now.
+func (c *Controller) ticks(tick *time.Ticker, was time.Duration) time.Duration {
+	want := followInterval
+	if c.reign != nil {
+		want = tickInterval
+	}
+	if want != was {
+		tick.Reset(want)
+	}
+	return want
+}
 
 // Run owns the state until the context ends.
 func (c *Controller) Run(ctx context.Context) {
@@ -109,9 +126,11 @@
 			go c.watchPeer(ctx, p.Node)
 		}
 	}
-	tick := time.NewTicker(tickInterval)
+	tick := time.NewTicker(followInterval)
 	defer tick.Stop()
+	interval := followInterval
 	for {
+		interval = c.ticks(tick, interval)
 		select {
 		case <-ctx.Done():
 			c.endReign()
--- a/internal/controller/gate.go
+++ b/internal/controller/gate.go
@@ -37,8 +37,10 @@
 	return r.ans, err
 }
 
+// take has the owner take a report in. The owner answers every report, late ones
+// too, so nothing but the end of the process cuts the wait short.
 func (c *Controller) take(ctx context.Context, m reportMsg) (reportReply, error) {
-	m.reply = make(chan reportReply, 1)
+	m.reply, m.came = make(chan reportReply, 1), time.Now()
 	if err := c.send(ctx, m); err != nil {
 		return reportReply{}, err
 	}
@@ -50,6 +52,12 @@
 	}
 }
 
+// reportLife is how long a report may wait for the owner and still be answered
+// before its worker gives up. After that its orders would be lost, and be taken
+// for carried out by nobody: it is not taken in at all, and the next one says
+// more.
+const reportLife = 3 * time.Second
+
 type reportReply struct {
 	ans api.ReportAnswer
 	err error
@@ -66,10 +74,15 @@
 	unreached string
 	// refused is set if its connections are refused.
 	refused bool
+	came    time.Time
 }
 
 func (m reportMsg) apply(c *Controller) {
 	now := time.Now()
+	if now.Sub(m.came) > reportLife {
+		m.reply <- reportReply{err: api.ErrUnavailable}
+		return
+	}
 	if c.valid() {
 		if node := c.nearer(m, now); node != "" {
 			m.reply <- reportReply{err: &api.NotLeaderError{Leader: node}}
--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -161,8 +161,9 @@
 	}()
 }
 
-// confirmPause keeps polls from taking more than a few requests a second.
-const confirmPause = 60 * time.Millisecond
+// confirmPause keeps polls from taking more than a few requests a second; it is
+// small against what users wait for an answer.
+const confirmPause = 200 * time.Millisecond
 
 type confirmedMsg struct {
 	r     *reign
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -173,9 +173,14 @@
 	return &net.OpError{Op: op, Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError(op, err)}
 }
 
+// noKeepAlive leaves out what package net sets for each connection so that the
+// system finds dead ones: four calls each, and who uses these connections gives
+// them up itself, by deadlines.
+const noKeepAlive = -1
+
 // Listen listens on a TCP address; what it accepts are Conns.
 func Listen(addr string) (net.Listener, error) {
-	ln, err := net.Listen("tcp", addr)
+	ln, err := (&net.ListenConfig{KeepAlive: noKeepAlive}).Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
@@ -194,7 +199,7 @@
 
 // Dialer returns a function for an http.Transport that connects within a time.
 func Dialer(timeout time.Duration) func(ctx context.Context, network, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: timeout}
+	d := net.Dialer{Timeout: timeout, KeepAlive: noKeepAlive}
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := d.DialContext(ctx, network, addr)
 		if err != nil {
