A controller that is held up takes no machine for dead, and answers no report too late

On a controller that lags, the time for a question to a machine passes before its answer can be read; two such questions gave a machine back. A tick that comes 0.4 s late now shows that the process was held up: what was asked before does not count as unanswered, and the time itself is no silence.

--- a/internal/controller/direct_test.go
+++ b/internal/controller/direct_test.go
@@ -310,7 +310,7 @@
 			rep := idle[5].rep
 			rep.Seq, rep.Session = m.seq+1, m.session
 			c.reign.greeting++
-			greetedMsg{c.reign, m, &rep, nil}.apply(c)
+			greetedMsg{c.reign, m, time.Now(), &rep, nil}.apply(c)
 			w.same("given in a greeting", len(m.attempts), 0)
 		})
 	})
@@ -343,7 +343,7 @@
 					t.Fatal(err)
 				}
 				c.reign.greeting++
-				greetedMsg{c.reign, m, rep, nil}.apply(c)
+				greetedMsg{c.reign, m, time.Now(), rep, nil}.apply(c)
 			})
 		}
 		greeted(ks[0])
--- a/internal/controller/greet.go
+++ b/internal/controller/greet.go
@@ -46,15 +46,16 @@
 		ctx, cancel := context.WithTimeout(r.ctx, probeTimeout)
 		defer cancel()
 		rep, err := r.c.Director.Greet(ctx, addr, term)
-		r.post(greetedMsg{r, m, rep, err})
+		r.post(greetedMsg{r, m, now, rep, err})
 	}()
 }
 
 type greetedMsg struct {
-	r   *reign
-	m   *machine
-	rep *api.Report
-	err error
+	r     *reign
+	m     *machine
+	asked time.Time
+	rep   *api.Report
+	err   error
 }
 
 func (g greetedMsg) apply(c *Controller) {
@@ -68,7 +69,7 @@
 	case g.m.gone:
 	case g.err != nil:
 		c.Log.Debug("greeting", "machine", g.m.name, "err", g.err)
-		if !g.m.heard {
+		if !g.m.heard && r.punctual(g.asked) {
 			g.m.probeFails++
 		}
 	case c.valid() && g.rep.Machine == g.m.name:
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -89,14 +89,19 @@
 	reportS  float64
 	// zones are the nodes' zones.
 	zones map[string]string
-	// dead are the machines that do not answer when asked directly.
-	dead sync.Map
+	// dead are the machines that do not answer when asked directly, and tardy
+	// those whose answer does not come within the time for it.
+	dead, tardy sync.Map
 	// machines are the scripted machines by address.
 	machines sync.Map
 }
 
 // Probe implements Prober.
-func (w *world) Probe(_ context.Context, addr string) (*api.Report, error) {
+func (w *world) Probe(ctx context.Context, addr string) (*api.Report, error) {
+	if _, tardy := w.tardy.Load(addr); tardy {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if _, dead := w.dead.Load(addr); dead {
 		return nil, errors.New("no answer")
 	}
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -80,7 +80,9 @@
 	lastTick   time.Time
 	// listening is since when this node can hear its machines.
 	listening time.Time
-	probing   int
+	// heldUp is when it last noticed that it was late.
+	heldUp  time.Time
+	probing int
 	// dials bounds each of probing, greeting and ordering.
 	dials int
 	// toGreet are the machines that a new leader has yet to greet.
@@ -442,22 +444,43 @@
 	}
 }
 
+// A tick that comes lateTick late shows that this process was held up, and one
+// that comes lostTicks late that it cannot have heard its machines.
+const (
+	lateTick  = 400 * time.Millisecond
+	lostTicks = 2 * time.Second
+)
+
 // deaf notices that this node could not hear its machines for a while: it may
 // not have been entitled to answer them, or it was held up itself. None of them
 // is silent on that account, or the first thing after an outage of the state
-// service would be to give the whole fleet back.
+// service would be to give the whole fleet back. On a controller with too little
+// processor time that happens in small: what it was late by is no silence either,
+// and no answer that it waited for meanwhile is missing.
 func (r *reign) deaf(now time.Time) bool {
 	gap := now.Sub(r.lastTick)
 	first := r.lastTick.IsZero()
 	r.lastTick = now
-	if first || gap < 2*time.Second {
+	if first || gap < lateTick {
 		return false
 	}
-	r.listening = now
+	r.heldUp = now
+	lost := gap >= lostTicks
+	if lost {
+		r.listening = now
+	}
 	for _, m := range r.machines {
-		m.lastSeen = now
+		if m.lastSeen = m.lastSeen.Add(gap); lost || m.lastSeen.After(now) {
+			m.lastSeen = now
+		}
 	}
-	return true
+	return lost
+}
+
+// punctual tells whether this node has not been held up since it asked something.
+// If it was, an answer may wait to be read although the time for it has passed.
+func (r *reign) punctual(asked time.Time) bool {
+	return !r.heldUp.After(asked) && time.Since(r.lastTick) < lateTick
 }
 
 // scanMachines gives back the machines that are silent, bad or idle.
--- a/internal/controller/silence.go
+++ b/internal/controller/silence.go
@@ -145,7 +145,7 @@
 		return
 	}
 	if p.err != nil || p.rep.Machine != p.m.name {
-		if p.m.lastSeen.Before(p.asked) || p.m.unheeded > 0 {
+		if (p.m.lastSeen.Before(p.asked) || p.m.unheeded > 0) && p.r.punctual(p.asked) {
 			p.m.probeFails++
 		}
 		return
