--- a/internal/api/handlers.go
+++ b/internal/api/handlers.go
@@ -79,6 +79,10 @@
 	maxAsks    = 160
 )
 
+// MostHeld is about how many bytes requests that are being served hold: a body
+// as it came and as it was read, or a question.
+const MostHeld = maxSubmits*(2*MaxBody) + maxAsks*(8<<10)
+
 // limited serves a request if there is a slot for it.
 func (s *server) limited(slots chan struct{}, serve http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -201,6 +201,12 @@
 	if s.Limits.FDLimit < leastSockets {
 		return fmt.Errorf("field settings.limits.fd_limit: at least %d are needed, found %d", leastSockets, s.Limits.FDLimit)
 	}
+	if s.Limits.Cores < leastCores {
+		return fmt.Errorf("field settings.limits.cores: at least %v are needed to answer anybody, found %v", leastCores, s.Limits.Cores)
+	}
+	if s.Limits.RAMMB < leastRAMMB {
+		return fmt.Errorf("field settings.limits.ram_mb: at least %v are needed to start, found %v", leastRAMMB, s.Limits.RAMMB)
+	}
 	if s.Workers.LeaseS <= s.Workers.ReportS {
 		return fmt.Errorf("field settings.workers.lease_s: %v is not longer than report_s %v", s.Workers.LeaseS, s.Workers.ReportS)
 	}
@@ -216,6 +222,11 @@
 	// leastSockets are those for the outside services, the other controllers
 	// and a few users and workers.
 	leastSockets = 64
+	// leastCores was measured with five machines: at half of it nothing was ever
+	// accepted, with it little. What a fleet needs is in docs/operations.md.
+	leastCores = 0.0005
+	// leastRAMMB is less than what a controller that has nothing to do holds.
+	leastRAMMB = 3.0
 )
 
 func notNegative(v float64) bool { return v >= 0 && !math.IsInf(v, 0) }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -21,6 +21,13 @@
 	}
 }
 
+// Sizes that were seen to work with a few machines are no error either.
+func TestSmallSettings(t *testing.T) {
+	if _, err := Parse([]byte(strings.NewReplacer(`"cores":0.06`, `"cores":0.001`, `"ram_mb":98`, `"ram_mb":4`).Replace(good))); err != nil {
+		t.Error(err)
+	}
+}
+
 // Large numbers are no error.
 func TestLargeSettings(t *testing.T) {
 	var teams []string
@@ -48,6 +55,8 @@
 		{`"write_rps":25`, `"write_rps":0`, "write_rps"},
 		{`"txn_ops":20`, `"txn_ops":2`, "txn_ops"},
 		{`"cores":0.06`, `"cores":0`, "limits.cores"},
+		{`"cores":0.06`, `"cores":0.0004`, "limits.cores"},
+		{`"ram_mb":98`, `"ram_mb":2.5`, "limits.ram_mb"},
 		{`"value_kb":16`, `"value_kb":0.5`, "value_kb"},
 		{`"fd_limit":800`, `"fd_limit":3`, "fd_limit"},
 		{`[{"name":"t","cpus":1,"cpus_max":2}]`, `[]`, "teams"},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,6 +47,22 @@
 	return log
 }
 
+// A connection of a worker or user may hold a part of a request, and holds a
+// goroutine. All of them together may take memoryForThem of the memory: what is
+// left holds the process itself, the fleet and the jobs.
+const (
+	perConnection = 26 << 10
+	memoryForThem = 0.3
+	leastOpen     = 16
+)
+
+// connections is how many connections of workers and users may be open: sockets
+// are kept for the outside services and the peers.
+func connections(lim config.Limits) int {
+	byMemory := int(lim.RAMMB * (1 << 20) * memoryForThem / perConnection)
+	return max(leastOpen, min(lim.FDLimit*7/10, byMemory))
+}
+
 // tune fits the process to the machine: one processor's share, and a memory
 // limit below the one that gets it killed.
 func tune(lim config.Limits) {
@@ -85,8 +101,7 @@
 	go cand.Run(ctx)
 	failed := make(chan error, 2)
 	go func() { failed <- peer.Serve(ctx, peerLn, peerHandler{c}, log) }()
-	// Sockets are kept for the outside services and the peers.
-	crowd := newCrowd(max(16, s.Site.Limits.FDLimit*7/10))
+	crowd := newCrowd(connections(s.Site.Limits))
 	srv := &httpd.Server{Handler: api.Handler(c, log), ConnState: crowd.watch, Log: log}
 	go func() { failed <- srv.Serve(apiLn) }()
 	log.Info("started", "node", s.Node, "zone", s.Zone, "api", s.APIAddr, "pid", os.Getpid())
