Operators choose class preferences and the restart limit, and are told why work waits

class_preference orders classes among jobs of one priority that can be in time, restart_limit is how many estimates a run may take. The log says every 15 s why work waits if a job has waited longer than 20 s, and status counts the waiting jobs by why: takeover, team limit, gives way, fails everywhere, no room. Defaults change nothing.

--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -29,6 +29,7 @@
 	overlooked bool
 	load       queue.Load
 	rank       int
+	preference float64
 	team       *queue.Team[*job]
 
 	flight *flight.Flight
@@ -70,6 +71,9 @@
 func (j *job) Rank() int         { return j.rank }
 func (j *job) Latest() time.Time { return j.latest }
 
+// Preference makes a job an item of its team's queue.
+func (j *job) Preference() float64 { return j.preference }
+
 // Prospect makes a job an item of its team's queue.
 func (j *job) Prospect() queue.Prospect {
 	switch {
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -77,6 +77,7 @@
 	overlooked int
 	nextScan   time.Time
 	nextUse    time.Time
+	nextWaits  time.Time
 	lastTick   time.Time
 	// listening is since when this node can hear its machines.
 	listening time.Time
@@ -280,7 +281,7 @@
 	}
 	n := uint(rec.Spec.Tasks)
 	j := &job{
-		spec: rec.Spec, mark: mark, accepted: rec.Accepted, waiting: time.Now(), rank: api.PriorityRank(rec.Spec.Priority), team: team,
+		spec: rec.Spec, mark: mark, accepted: rec.Accepted, waiting: time.Now(), rank: api.PriorityRank(rec.Spec.Priority), preference: r.c.Policy.Preferences[rec.Spec.Class], team: team,
 		flight: flight.New(rec.Spec.Tasks), live: map[int]*attempt{},
 		done: bitset.New(n), durable: bitset.New(n), chunks: map[int]bool{},
 		runs: jobRuns{by: map[string]*runs{}}, zones: map[string]int{}, restarted: map[int]bool{}, barred: map[int]string{}, errors: map[string]int{},
@@ -388,6 +389,7 @@
 	r.scanOverdue(now)
 	r.renter.tick(now)
 	r.logUse(now)
+	r.logWaits(now)
 }
 
 // manyFetches bounds the images that a machine fetches at the same time.
--- a/internal/controller/slow.go
+++ b/internal/controller/slow.go
@@ -3,7 +3,8 @@
 import "time"
 
 const (
-	// overdueTimes is how many estimates a run may take before it is overdue.
+	// overdueTimes is how many estimates a run may take and not count for a slow
+	// one; how many it may take before it is restarted is the operators' choice.
 	overdueTimes = 2
 	// beyondOthers is by how much an overdue run must exceed the longest run
 	// of the job's other members.
@@ -131,8 +132,12 @@
 // the limit together: so the run must also exceed by half the longest that any
 // other member took, or it would be thrown away near its end.
 func (r *reign) scanOverdue(now time.Time) {
+	times := r.c.Policy.RestartLimit
+	if times == 0 {
+		return
+	}
 	for _, j := range r.jobs {
-		limit := overdueTimes * j.spec.Estimate()
+		limit := time.Duration(times * float64(j.spec.Estimate()))
 		if limit <= 0 || len(j.live) == 0 || j.runs.all.n == 0 {
 			continue
 		}
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -19,21 +19,23 @@
 
 // LeaderStatus is what only the leader knows.
 type LeaderStatus struct {
-	Term       uint64       `json:"term"`
-	ValidS     float64      `json:"valid_s"`
-	Machines   int          `json:"machines"`
-	Unheard    int          `json:"unheard"`
-	Draining   int          `json:"draining"`
-	Leaving    int          `json:"leaving"`
-	Booting    int          `json:"booting"`
-	CPUs       float64      `json:"cpus"`
-	UsedCPUs   float64      `json:"used_cpus"`
-	Teams      []TeamStatus `json:"teams"`
-	Started    int64        `json:"started"`
-	Lost       int64        `json:"lost"`
-	Done       int64        `json:"done"`
-	FirstStart Latency      `json:"first_start_ms"`
-	Recorded   Latency      `json:"recorded_ms"`
+	Term     uint64       `json:"term"`
+	ValidS   float64      `json:"valid_s"`
+	Machines int          `json:"machines"`
+	Unheard  int          `json:"unheard"`
+	Draining int          `json:"draining"`
+	Leaving  int          `json:"leaving"`
+	Booting  int          `json:"booting"`
+	CPUs     float64      `json:"cpus"`
+	UsedCPUs float64      `json:"used_cpus"`
+	Teams    []TeamStatus `json:"teams"`
+	Started  int64        `json:"started"`
+	Lost     int64        `json:"lost"`
+	Done     int64        `json:"done"`
+	// Waits is how many jobs wait for their first start, by why.
+	Waits      map[string]int `json:"waits"`
+	FirstStart Latency        `json:"first_start_ms"`
+	Recorded   Latency        `json:"recorded_ms"`
 }
 
 // TeamStatus is one team's queue and use.
@@ -106,6 +108,7 @@
 	s := &LeaderStatus{Term: r.term.Number, ValidS: max(0, r.until.Sub(now).Seconds()), Machines: len(r.machines),
 		Unheard: r.unheard, Booting: len(r.expected), Started: r.counts.started, Lost: r.counts.lost,
 		Done: r.counts.done, FirstStart: latency(r.counts.firstStart), Recorded: latency(r.counts.recorded)}
+	s.Waits, _ = r.waits(now)
 	for _, m := range r.machines {
 		s.CPUs += m.cpus
 		s.UsedCPUs += m.usedCPUs
@@ -127,6 +130,59 @@
 	return s
 }
 
+// whyWaits says why a job's next task is on no machine.
+func (r *reign) whyWaits(j *job, now time.Time) string {
+	s := &j.spec
+	switch {
+	case now.Before(j.heldUntil):
+		return "fails everywhere"
+	case r.unheard > 0 && j.mark <= r.term.Mark:
+		return "takeover"
+	case !j.team.Allowed(s.CPUs, s.GPUs, r.unheardCPUs+r.foreignCPUs, r.unheardGPUs):
+		return "team limit"
+	case j.load.Defer || j.hopeless:
+		return "gives way"
+	}
+	return "no room"
+}
+
+// waits counts the jobs that wait for their first start, by why, and returns the
+// one that has waited longest.
+func (r *reign) waits(now time.Time) (counts map[string]int, oldest *job) {
+	counts = map[string]int{}
+	for _, j := range r.jobs {
+		if j.finishing || j.begun() || j.flight.Untaken() == 0 {
+			continue
+		}
+		counts[r.whyWaits(j, now)]++
+		if oldest == nil || j.accepted.Before(oldest.accepted) {
+			oldest = j
+		}
+	}
+	return counts, oldest
+}
+
+// The log tells why work waits every waitsInterval while a job has waited for
+// longer than waitsLong.
+const (
+	waitsInterval = 15 * time.Second
+	waitsLong     = 20 * time.Second
+)
+
+// logWaits tells why work waits.
+func (r *reign) logWaits(now time.Time) {
+	if now.Before(r.nextWaits) {
+		return
+	}
+	r.nextWaits = now.Add(waitsInterval)
+	counts, oldest := r.waits(now)
+	if oldest == nil || now.Sub(oldest.accepted) < waitsLong {
+		return
+	}
+	r.c.Log.Info("work waits", "jobs", counts, "longest", oldest.spec.ID, "class", oldest.spec.Class, "team", oldest.spec.Team,
+		"for", now.Sub(oldest.accepted).Round(time.Second), "why", r.whyWaits(oldest, now))
+}
+
 // useInterval is how often the log tells how the fleet is used.
 const useInterval = 5 * time.Second
 
--- /dev/null
+++ b/internal/controller/waits_test.go
@@ -0,0 +1,78 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+)
+
+// An operator is told why jobs wait: each reason by itself.
+func TestWhyWorkWaits(t *testing.T) {
+	play(t, func(w *world) {
+		n := w.start("n0")
+		w.teams[0].CPUsMax = 100
+		large := spec("job-1", 8)
+		large.Team = "blue" // whose limit is 8
+		w.submit(n, large)
+		ks := []*worker{w.worker("i-1", "a", false), w.worker("i-2", "a", false), w.worker("i-3", "a", false)}
+		for range 4 {
+			for _, k := range ks {
+				k.report(n)
+			}
+			time.Sleep(time.Second)
+		}
+		more := spec("job-2", 1)
+		more.Team = "blue"
+		w.submit(n, more) // the team's limit is in use
+		w.submit(n, spec("job-3", 4))
+		for range 3 {
+			for _, k := range ks {
+				k.report(n)
+			}
+			time.Sleep(time.Second)
+		}
+		w.submit(n, spec("job-4", 1)) // all machines are in use
+		n.look(func(c *Controller) {
+			got, oldest := c.reign.waits(time.Now())
+			w.same("waits", got, map[string]int{"team limit": 1, "no room": 1})
+			w.same("oldest", oldest.spec.ID, "job-2")
+			c.reign.unheard++
+			oldest.mark = c.reign.term.Mark // accepted before this term
+			w.same("before a takeover is over", c.reign.whyWaits(oldest, time.Now()), "takeover")
+			c.reign.unheard--
+			oldest.heldUntil = time.Now().Add(time.Second)
+			w.same("held", c.reign.whyWaits(oldest, time.Now()), "fails everywhere")
+		})
+	})
+}
+
+// A run past the operators' limit is restarted once, and never where they set
+// none; what makes a run overdue besides is tested with the machines that are slow.
+func TestRestartLimitIsTheOperators(t *testing.T) {
+	for _, c := range []struct {
+		limit float64
+		want  bool
+	}{{2, true}, {4, false}, {0, false}} {
+		play(t, func(w *world) {
+			n := w.start("n0")
+			n.Policy.RestartLimit = c.limit
+			slow, well := w.worker("i-1", "a", false), w.worker("i-2", "a", false)
+			sp := spec("job-1", 8)
+			sp.EstimateS = 10
+			w.submit(n, sp)
+			stopped := false
+			for second := range 32 {
+				for _, o := range slow.report(n) {
+					stopped = stopped || o.Verb == api.VerbStop
+				}
+				well.report(n)
+				if second == 14 {
+					well.exit(api.CauseDone)
+				}
+				time.Sleep(time.Second)
+			}
+			w.same("stopped", stopped, c.want)
+		})
+	}
+}
--- a/internal/policy/defaults.star
+++ b/internal/policy/defaults.star
@@ -4,6 +4,15 @@
 # named has its guarantee as its share.
 team_shares = {}
 
+# Preferences of classes of jobs: among jobs of a team that can be in time, and of
+# the same priority, those of a class with a higher number are served first. A
+# class that is not named has 0.
+class_preference = {}
+
+# How many of its estimates a task may run before it may be restarted, once, on
+# another machine; 0 restarts none.
+restart_limit = 2.0
+
 # Whether spot machines are rented for jobs that allow them.
 use_spot = True
 
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -28,6 +28,10 @@
 	IdleReturn  time.Duration
 	Hold        time.Duration
 	LeaderLease time.Duration
+	// Preferences order the classes of jobs, the highest first.
+	Preferences map[string]float64
+	// RestartLimit is how many estimates a task may run; 0 is without limit.
+	RestartLimit float64
 }
 
 // Share is a team's share, or the fallback if the operators name none.
@@ -98,7 +102,7 @@
 }
 
 func check(name string, v starlark.StringDict) (*Policy, error) {
-	p := &Policy{Shares: map[string]float64{}}
+	p := &Policy{}
 	fail := func(key, want string) (*Policy, error) {
 		return nil, fmt.Errorf("policy %s: %s must be %s, found %s", name, key, want, v[key])
 	}
@@ -108,6 +112,7 @@
 	}
 	p.UseSpot = bool(spot)
 	var idle, lease, hold float64
+	var err error
 	for _, f := range []struct {
 		key    string
 		to     *float64
@@ -115,6 +120,7 @@
 	}{
 		{"headroom", &p.Headroom, 0, 10}, {"min_cpus", &p.MinCPUs, 0, 1e6},
 		{"idle_return_s", &idle, 0, 86400}, {"hold_s", &hold, 0, 86400}, {"leader_lease_s", &lease, 2, 600},
+		{"restart_limit", &p.RestartLimit, 0, 1000},
 	} {
 		x, ok := starlark.AsFloat(v[f.key])
 		if !ok || math.IsNaN(x) || x < f.lo || x > f.hi {
@@ -125,17 +131,32 @@
 	p.IdleReturn = time.Duration(idle * float64(time.Second))
 	p.Hold = time.Duration(hold * float64(time.Second))
 	p.LeaderLease = time.Duration(lease * float64(time.Second))
-	shares, ok := v["team_shares"].(*starlark.Dict)
+	if p.RestartLimit > 0 && p.RestartLimit < 1 {
+		return fail("restart_limit", "0 or a number from 1 to 1000")
+	}
+	if p.Shares, err = numbers(v["team_shares"], 0); err != nil {
+		return fail("team_shares", "a dict of team names and shares above 0")
+	}
+	if p.Preferences, err = numbers(v["class_preference"], math.Inf(-1)); err != nil {
+		return fail("class_preference", "a dict of class names and numbers")
+	}
+	return p, nil
+}
+
+// numbers reads a dict of names and finite numbers above a bound.
+func numbers(v starlark.Value, above float64) (map[string]float64, error) {
+	dict, ok := v.(*starlark.Dict)
 	if !ok {
-		return fail("team_shares", "a dict of team names and shares")
+		return nil, errors.New("not a dict")
 	}
-	for _, item := range shares.Items() {
-		team, ok := starlark.AsString(item[0])
+	out := map[string]float64{}
+	for _, item := range dict.Items() {
+		name, ok := starlark.AsString(item[0])
 		x, isNum := starlark.AsFloat(item[1])
-		if !ok || !isNum || !(x > 0) || math.IsInf(x, 0) {
-			return fail("team_shares", "a dict of team names and shares above 0")
+		if !ok || !isNum || !(x > above) || math.IsInf(x, 0) {
+			return nil, fmt.Errorf("entry %s", item[0])
 		}
-		p.Shares[team] = x
+		out[name] = x
 	}
-	return p, nil
+	return out, nil
 }
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -13,11 +13,14 @@
 idle_return_s = seconds(2)
 team_shares = {name: 2 for name in ["red", "blue"]}
 headroom = default_headroom + 1
+class_preference = {"merit": 1, "betyg": -0.5}
+restart_limit = 0
 `)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if p.IdleReturn != 2*time.Minute || p.Share("red", 1) != 2 || p.Share("green", 7) != 7 || p.Headroom < 1 || !p.UseSpot {
+	if p.IdleReturn != 2*time.Minute || p.Share("red", 1) != 2 || p.Share("green", 7) != 7 || p.Headroom < 1 || !p.UseSpot ||
+		p.Preferences["merit"] != 1 || p.Preferences["betyg"] != -0.5 || p.RestartLimit != 0 {
 		t.Errorf("%+v", p)
 	}
 }
@@ -29,6 +32,9 @@
 		{"headroom = 'much'", "headroom must be"},
 		{"use_spot = 1", "use_spot must be"},
 		{"team_shares = {'red': 0}", "team_shares must be"},
+		{"class_preference = {'merit': float('nan')}", "class_preference must be"},
+		{"class_preference = {1: 1}", "class_preference must be"},
+		{"restart_limit = 0.5", "restart_limit must be"},
 		{"team_shares = []", "team_shares must be"},
 		{"headroom = (", "own.star:1"},
 		{"x = 1\nheadroom = 1 // 0", "own.star:2"},
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -16,6 +16,8 @@
 	Latest() time.Time
 	// Rank is the job's priority, the highest first.
 	Rank() int
+	// Preference is the operators' for its class, the highest first.
+	Preference() float64
 	ID() string
 }
 
@@ -61,7 +63,7 @@
 }
 
 func compare[T Item](a, b T) int {
-	return cmp.Or(cmp.Compare(a.Prospect(), b.Prospect()), cmp.Compare(Urgency(a), Urgency(b)),
+	return cmp.Or(cmp.Compare(a.Prospect(), b.Prospect()), cmp.Compare(Urgency(a), Urgency(b)), -cmp.Compare(a.Preference(), b.Preference()),
 		a.Latest().Compare(b.Latest()), cmp.Compare(a.Rank(), b.Rank()), cmp.Compare(a.ID(), b.ID()))
 }
 
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -10,19 +10,21 @@
 	rank     int
 	latest   time.Time
 	prospect Prospect
+	prefer   float64
 }
 
-func (i item) ID() string         { return i.id }
-func (i item) Rank() int          { return i.rank }
-func (i item) Latest() time.Time  { return i.latest }
-func (i item) Prospect() Prospect { return i.prospect }
+func (i item) ID() string          { return i.id }
+func (i item) Rank() int           { return i.rank }
+func (i item) Latest() time.Time   { return i.latest }
+func (i item) Prospect() Prospect  { return i.prospect }
+func (i item) Preference() float64 { return i.prefer }
 
 func TestOrderWithinATeam(t *testing.T) {
 	t0 := time.Unix(0, 0)
 	var q Team[item]
 	for _, i := range []item{
-		{"hopeless", 0, t0, Hopeless}, {"deferred", 0, t0, Deferred}, {"later", 2, t0.Add(2), InTime},
-		{"low", 3, t0.Add(1), InTime}, {"urgent", 1, t0.Add(3), InTime},
+		{"hopeless", 0, t0, Hopeless, 0}, {"deferred", 0, t0, Deferred, 9}, {"later", 2, t0.Add(2), InTime, 0},
+		{"low", 3, t0.Add(1), InTime, 0}, {"urgent", 1, t0.Add(3), InTime, 0}, {"preferred", 3, t0.Add(9), InTime, 0.5},
 	} {
 		q.Add(i)
 	}
@@ -30,11 +32,11 @@
 	for _, i := range q.Items() {
 		got += i.id + " "
 	}
-	if got != "urgent low later deferred hopeless " {
+	if got != "urgent preferred low later deferred hopeless " {
 		t.Error(got)
 	}
 	q.Remove(item{id: "low"})
-	if len(q.Items()) != 4 {
+	if len(q.Items()) != 5 {
 		t.Error("not removed")
 	}
 }
