--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -74,7 +74,8 @@
 	defer conn.Close()
 	out := &outbox{conn: conn}
 	slots, jobs := make(chan struct{}, maxInFlight), make(chan struct{}, maxJobs)
-	var until time.Time
+	until := time.Now().Add(2 * silentFor)
+	conn.SetReadDeadline(until)
 	each(conn, func(raw []byte) error {
 		if now := time.Now(); until.Sub(now) < silentFor {
 			until = now.Add(2 * silentFor)
