--- a/internal/controller/direct.go
+++ b/internal/controller/direct.go
@@ -38,6 +38,11 @@
 	directAbove = 2 * time.Second
 	dispatchFor = 1500 * time.Millisecond
 	directWait  = 1500 * time.Millisecond
+	// A node that was held up lately may be so again, and then finds that the
+	// time has passed before it could read the answer: the machine would be
+	// given back for nothing.
+	directWaitLate = 5 * time.Second
+	heldUpLately   = 15 * time.Second
 	// directFailsMost is how many orders in a row may find no way to their
 	// machines, and directPause for how long none are sent then: the leader
 	// may have lost the way to all of them, and each order holds its tasks
@@ -124,8 +129,12 @@
 	m.ordering = true
 	r.ordering++
 	addr, req := m.addr, &api.DirectOrders{Term: r.term.Number, Session: m.session, Orders: orders}
+	wait := directWait
+	if !r.punctual(time.Now().Add(-heldUpLately)) {
+		wait = directWaitLate
+	}
 	go func() {
-		ctx, cancel := context.WithTimeout(r.ctx, directWait)
+		ctx, cancel := context.WithTimeout(r.ctx, wait)
 		defer cancel()
 		seq, err := r.c.Director.Order(ctx, addr, req)
 		r.post(orderedMsg{r, m, batch, seq, err})
--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -210,6 +210,7 @@
 	// a row that showed none of their orders carried out, and the sessions
 	// that ended although the machine was answered: answers do not reach it.
 	asked    []api.Order
+	askedAt  time.Time
 	unheeded int
 	roster   rosterState
 	sheet    *sheet
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -67,7 +67,9 @@
 		return ans, nil // older than what is known
 	}
 	if m.session != 0 && rep.Session > m.session {
-		m.unheeded++ // its lease has ended although it was answered
+		if r.punctual(now.Add(-r.c.Settings.Site.Workers.Lease() - r.hearable())) {
+			m.unheeded++ // its lease has ended although it was answered
+		}
 		m.asked = nil
 	}
 	m.reports++
@@ -104,7 +106,7 @@
 		}
 	}
 	if from == ownReport {
-		m.asked = ans.Orders
+		m.asked, m.askedAt = ans.Orders, now
 	}
 	if m.usedCPUs > slack || len(m.attempts) > 0 {
 		m.idle = now
@@ -112,6 +114,10 @@
 	return ans, nil
 }
 
+// lateAnswer is how long before an answer this node may have been held up and the
+// answer have gone out too late for it: workers drop what comes after four seconds.
+const lateAnswer = 4 * time.Second
+
 // heed looks whether a report shows that the orders of the last answer were
 // carried out. To a machine whose reports arrive while answers do not reach it,
 // starts would otherwise be sent again and again.
@@ -127,6 +133,9 @@
 			return
 		}
 	}
+	if !r.punctual(m.askedAt.Add(-lateAnswer)) {
+		return // the answer may have come too late, by this node's fault
+	}
 	// One answer may be lost; after a second, the machine is asked first.
 	if m.unheeded++; m.unheeded > 1 {
 		m.pauseUntil = now.Add(min(r.c.Settings.Site.Workers.Report()<<min(m.unheeded, 5), 30*time.Second))
