Ends whose answers were lost are settled one at a time, by the leader's own budget

Cause (log with the recorder's state added): after a while without answers from the store, 60 jobs whose end was on record were being looked up side by side within the users' part of the request rate; each lookup takes two reads, had 0.8 s for both, and used up a turn for the first in vain. Ruled out: the connections between controllers, which are read to the end now all the same. A record without an answer is written again; its guards tell.

The test fails without the change.

--- a/internal/controller/recorder.go
+++ b/internal/controller/recorder.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"math"
 	"slices"
 	"time"
@@ -34,6 +33,9 @@
 	perSheet  int
 	nextSheet time.Time
 	busy      bool
+	// unsettled are the jobs whose end is to be read, one at a time.
+	unsettled []string
+	settling  bool
 	waitUntil time.Time
 	// lastProgress keeps progress records behind everything else.
 	nextProgress time.Time
@@ -232,11 +234,9 @@
 	switch {
 	case m.err != nil:
 		w.waitUntil = now.Add(250 * time.Millisecond)
+		// If it was carried out all the same, or is yet to be, the next try
+		// fails by its guards, and tells which jobs to look at.
 		w.again(m.b)
-		if errors.Is(m.err, store.ErrUnknown) {
-			// It may have been carried out: the final records will tell.
-			w.verify(m.b.finished)
-		}
 		c.Log.Debug("records not written", "err", m.err)
 	case m.res.OK:
 		record(m.r.counts.recorded, now.Sub(m.sent))
@@ -310,19 +310,34 @@
 		"late", math.Round(time.Since(j.aims[0]).Seconds()))
 }
 
-// verify reads how jobs ended whose end was written with an unknown outcome,
-// or against a record that had changed.
+// verify reads how jobs ended whose record had changed when their end was written:
+// mostly by this leader's own transaction, whose answer was lost.
 func (w *recorder) verify(jobs []*job) {
 	for _, j := range jobs {
 		w.finishing = slices.DeleteFunc(w.finishing, func(o *job) bool { return o == j })
-		go w.r.settle(j.spec.ID)
+		w.unsettled = append(w.unsettled, j.spec.ID)
 	}
+	w.settleNext()
 }
 
+// settleNext looks at one job at a time. After a while of lost answers there are
+// many, and looked at side by side they used up each other's turns in the request
+// budget: none was ever read to its end, and the fleet was kept for work long done.
+func (w *recorder) settleNext() {
+	if w.settling || len(w.unsettled) == 0 {
+		return
+	}
+	w.settling = true
+	go w.r.settle(w.unsettled[0])
+	w.unsettled = w.unsettled[1:]
+}
+
+// settle reads how a job ended, by the leader's own budget.
 func (r *reign) settle(id string) {
+	records := store.Records{Store: r.c.Store}
 	for r.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(r.ctx, 4*time.Second)
-		st, found, err := r.c.records.Lookup(ctx, id)
+		st, found, err := records.Lookup(ctx, id)
 		cancel()
 		if err == nil {
 			r.post(settledMsg{r, id, st, found})
@@ -341,8 +356,13 @@
 
 func (m settledMsg) apply(c *Controller) {
 	r := m.r
+	if c.reign != r {
+		return
+	}
+	r.recorder.settling = false
+	defer r.recorder.settleNext()
 	j := r.jobs[m.id]
-	if c.reign != r || j == nil || j.over {
+	if j == nil || j.over {
 		return
 	}
 	switch {
--- /dev/null
+++ b/internal/controller/settle_test.go
@@ -0,0 +1,79 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/store"
+	"example.org/ivytrestle/internal/store/storetest"
+)
+
+// thrifty reads within a rate, as the client does: a read that would have to wait
+// for its turn for longer than it has time is refused.
+type thrifty struct {
+	*storetest.Fake
+	reads *rate.Limiter
+	// closed is set while no reads are served.
+	closed atomic.Bool
+}
+
+func (s *thrifty) Get(ctx context.Context, key string) (store.Entry, error) {
+	if s.closed.Load() && strings.HasPrefix(key, store.ActivePrefix) {
+		return store.Entry{}, store.ErrRefused
+	}
+	if err := s.reads.Wait(ctx); err != nil {
+		return store.Entry{}, fmt.Errorf("%w: %w", store.ErrRefused, err)
+	}
+	return s.Fake.Get(ctx, key)
+}
+
+// The answers to a while of the leader's records are lost: the ends of many jobs
+// are on record, and it does not know. It finds out within its request rate. When
+// all were looked at side by side none ever was, and machines with tasks long done
+// were kept for the rest of the day.
+func TestManyEndsWithLostAnswersAreSettled(t *testing.T) {
+	play(t, func(w *world) {
+		st := &thrifty{Fake: w.store, reads: rate.NewLimiter(20, 20)}
+		n := w.startWith("n0", st, nil)
+		var ks []*worker
+		for i := range 15 {
+			ks = append(ks, w.worker(fmt.Sprint("i-", i), "a", false))
+		}
+		n.look(func(c *Controller) { c.reign.teams["red"].CPUsMax = 1000 })
+		all := func(seconds int) {
+			for range seconds {
+				for _, k := range ks {
+					k.report(n)
+				}
+				time.Sleep(time.Second)
+			}
+		}
+		all(3)
+		for i := range 60 {
+			w.submit(n, spec(fmt.Sprintf("job-%d", i), 1))
+		}
+		all(4)
+		w.store.Lose(func(txn store.Txn) bool { return txn.Records })
+		st.closed.Store(true)
+		for _, k := range ks {
+			k.exit(api.CauseDone)
+		}
+		all(40)
+		w.store.Lose(nil)
+		st.closed.Store(false)
+		all(20)
+		for _, k := range ks {
+			if len(k.rep.Tasks) > 0 {
+				t.Errorf("%s still holds %d tasks that are done", k.rep.Machine, len(k.rep.Tasks))
+			}
+		}
+		n.look(func(c *Controller) { w.same("jobs left", len(c.reign.jobs), 0) })
+	})
+}
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -156,11 +156,13 @@
 			return netio.Stop
 		case req == nil && c.partial != nil:
 			c.extend(arriveIn)
+			return netio.Again // the rest may be there
 		case req == nil:
 			c.s.state(c.conn, http.StateIdle)
 			c.extend(idleFor)
 		}
 		if req == nil {
+			// Nothing follows a request before its answer.
 			if n < bufferSize {
 				return netio.Wait
 			}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -115,10 +115,10 @@
 // or the connection's deadline passes. A step reads with the function that it is
 // given, which does not wait; so it holds a buffer only while it reads.
 //
-// Where a loop of Read tries to read once more before it waits, a step that got
-// less than its buffer holds may ask to wait at once: the poller tells of what
-// arrives after it. If the connection's end came together with those bytes, it is
-// noticed only when something is written or the deadline passes.
+// Where a loop of Read tries to read once more before it waits, a step may ask to
+// wait at once if it knows that nothing else can have arrived: the poller tells of
+// what arrives after it. If the connection's end came together with what was read,
+// it is noticed only when something is written or the deadline passes.
 func (c *Conn) Each(step func(read func(p []byte) (int, error)) Next) error {
 	var at uintptr
 	read := func(p []byte) (int, error) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -179,13 +179,12 @@
 		if err == nil {
 			err = got(buf[:n])
 		}
-		switch {
-		case err != nil:
+		if err != nil {
 			failed = err
 			return netio.Stop
-		case n < len(buf):
-			return netio.Wait
 		}
+		// Messages may be queued in any number, so only a read that finds
+		// nothing shows that there is none left.
 		return netio.Again
 	})
 	return errors.Join(err, failed)
--- a/internal/store/records.go
+++ b/internal/store/records.go
@@ -101,9 +101,23 @@
 	Store Service
 }
 
-// tryTimeout bounds one request to the service on a user's behalf.
+// tryTimeout bounds one request to the service on a user's behalf. What takes two
+// of them has it for each: a first that waited for its turn must not be done in
+// vain because there is no time left for the second.
 const tryTimeout = 800 * time.Millisecond
 
+func (r *Records) get(ctx context.Context, key string) (Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	return r.Store.Get(ctx, key)
+}
+
+func (r *Records) txn(ctx context.Context, txn Txn) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	return r.Store.Txn(ctx, txn)
+}
+
 // Accept makes a job's record. A job known already keeps its state, which is
 // returned with created false.
 func (r *Records) Accept(ctx context.Context, spec *api.JobSpec, now time.Time) (st api.JobState, created bool, err error) {
@@ -111,8 +125,8 @@
 		Guards: []Guard{{ActivePrefix + spec.ID, 0}, {FinalPrefix + spec.ID, 0}},
 		Ops:    []Op{{Put: ActivePrefix + spec.ID, Value: ActiveRecord{Spec: *spec, Accepted: now.UTC()}}},
 	}
-	err = retry(ctx, func(ctx context.Context) error {
-		res, err := r.Store.Txn(ctx, txn)
+	err = retry(ctx, func() error {
+		res, err := r.txn(ctx, txn)
 		if err != nil {
 			return err
 		}
@@ -135,7 +149,7 @@
 // Lookup reads a job's record. A job that is active is told as pending, since
 // the record does not hold what runs.
 func (r *Records) Lookup(ctx context.Context, id string) (st api.JobState, found bool, err error) {
-	err = retry(ctx, func(ctx context.Context) error {
+	err = retry(ctx, func() error {
 		st, found, err = r.lookup(ctx, id)
 		return err
 	})
@@ -145,7 +159,7 @@
 // lookup reads the active record before the final one: a job that moves
 // between the two reads is then seen at least once.
 func (r *Records) lookup(ctx context.Context, id string) (api.JobState, bool, error) {
-	e, err := r.Store.Get(ctx, ActivePrefix+id)
+	e, err := r.get(ctx, ActivePrefix+id)
 	if err != nil {
 		return api.JobState{}, false, err
 	}
@@ -157,7 +171,7 @@
 
 // Final reads a job's final record.
 func (r *Records) Final(ctx context.Context, id string) (api.JobState, bool, error) {
-	e, err := r.Store.Get(ctx, FinalPrefix+id)
+	e, err := r.get(ctx, FinalPrefix+id)
 	if err != nil || e.Mark == 0 {
 		return api.JobState{}, false, err
 	}
@@ -170,8 +184,8 @@
 
 // Cancel ends a job unless it is over. It returns the job's final state.
 func (r *Records) Cancel(ctx context.Context, id string) (st api.JobState, found bool, err error) {
-	err = retry(ctx, func(ctx context.Context) error {
-		e, err := r.Store.Get(ctx, ActivePrefix+id)
+	err = retry(ctx, func() error {
+		e, err := r.get(ctx, ActivePrefix+id)
 		if err != nil {
 			return err
 		}
@@ -184,7 +198,7 @@
 			return fmt.Errorf("record %s: %w", e.Key, err)
 		}
 		final := FinalRecord{Phase: api.JobWithdrawn, Tasks: rec.Spec.Tasks}
-		res, err := r.Store.Txn(ctx, Txn{
+		res, err := r.txn(ctx, Txn{
 			Guards: []Guard{{e.Key, e.Mark}},
 			// The cancel key comes first: a watch then tells why the record
 			// goes before it tells that it is gone.
@@ -207,12 +221,10 @@
 }
 
 // retry repeats a request that failed until the context ends.
-func retry(ctx context.Context, f func(ctx context.Context) error) error {
+func retry(ctx context.Context, f func() error) error {
 	wait := 40 * time.Millisecond
 	for {
-		tctx, cancel := context.WithTimeout(ctx, tryTimeout)
-		err := f(tctx)
-		cancel()
+		err := f()
 		if err == nil || !(errors.Is(err, ErrRefused) || errors.Is(err, ErrUnknown)) {
 			return err
 		}
