--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -89,7 +89,7 @@
 	c.in = nil
 	switch {
 	case err != nil:
-		return 0, closed(err)
+		return 0, err
 	case c.inErr != 0:
 		return 0, c.failed("read", c.inErr)
 	case c.inN == 0:
@@ -133,7 +133,7 @@
 		}
 		return n, nil
 	}
-	return closed(c.raw.Read(func(fd uintptr) bool {
+	return c.raw.Read(func(fd uintptr) bool {
 		at = fd
 		for {
 			switch step(read) {
@@ -143,7 +143,7 @@
 				return true
 			}
 		}
-	}))
+	})
 }
 
 // Write implements net.Conn.
@@ -152,7 +152,7 @@
 	err := c.raw.Write(c.writeFD)
 	c.out = nil
 	if err != nil {
-		return c.outN, closed(err)
+		return c.outN, err
 	}
 	if c.outErr != 0 {
 		return c.outN, c.failed("write", c.outErr)
@@ -160,15 +160,6 @@
 	return c.outN, nil
 }
 
-// closed makes the poller's word for a closed connection the one of package net.
-func closed(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && errors.Is(op.Err, os.ErrClosed) {
-		op.Err = net.ErrClosed
-	}
-	return err
-}
-
 func (c *Conn) failed(op string, err syscall.Errno) error {
 	return &net.OpError{Op: op, Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError(op, err)}
 }
