--- /dev/null
+++ b/internal/api/report_test.go
@@ -0,0 +1,44 @@
+package api
+
+import (
+	"encoding/json"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// The fast decoder must take and refuse what the standard library does, and what
+// it cannot read safely goes to that.
+func TestReportsAreReadLikeTheStandardLibraryDoes(t *testing.T) {
+	good := `{"Host":"i-1","Addr":"10.1.0.1:9000","Frame":"g8","Bed":"a","Windfall":true,"Season":1,"Tally":88,"Warrant":18446744073709551615,` +
+		`"ReclaimS":7.5,"New":{"a":[1,2,{"b":null}]},"Shoots":[{"Shoot":"job-1/3","Sprout":2,"Phase":"running"},` +
+		`{"Shoot":"job-2/0","Sprout":1,"Phase":"exited","Cause":"done","Kept":true},{"Shoot":"job-\u0033/0","Phase":"dozing"}]}`
+	for _, body := range []string{
+		good, good + "\r\n ", `{"Host":"i-1"}`, `{"Host":"i-1","Shoots":null,"ReclaimS":null}`, good + good, good[:len(good)-1],
+		"", "null", "[]", "{}", `{"Host":5}`, `{"Host":""}`, `{"Host":"i-1","Season":-1}`, `{"Host":"i-1","Season":1.5}`,
+		`{"Host":"i-1","Tally":18446744073709551616}`, `{"Host":"i-1","Shoots":{}}`, `{"Host":"i-1","Shoots":[5]}`,
+		`{"Host":"i-1","Z":nul}`, `{"Host":"i-1","Z":"` + "\n" + `"}`, `{"Host":"i-1","Z":` + strings.Repeat("[", 60_000) + `}`,
+		`{"Host":"i-1","Z":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`,
+	} {
+		var want Report
+		wantErr := json.Unmarshal([]byte(body), &want) != nil || want.Machine == ""
+		got, err := ParseReport([]byte(body))
+		if (err != nil) != wantErr || err == nil && !reflect.DeepEqual(*got, want) {
+			t.Errorf("%.80q: %+v, %v; the standard library: %+v, %v", body, got, err, want, wantErr)
+		}
+	}
+}
+
+// A report's phases outlive it in the leader's memory, so they must not hold its
+// whole body there.
+func TestPhasesShareNoMemoryWithTheReport(t *testing.T) {
+	body := []byte(`{"Host":"i-1","Shoots":[{"Shoot":"job-1/3","Phase":"running","Cause":"odd"}]}`)
+	rep, err := ParseReport(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	clear(body)
+	if task := rep.Tasks[0]; task.Phase != TaskRunning || task.Cause != "odd" {
+		t.Errorf("%+v", task)
+	}
+}
