--- a/internal/controller/rules_test.go
+++ b/internal/controller/rules_test.go
@@ -188,7 +188,9 @@
 		k1, k2 := w.worker("i-1", "a", false), w.worker("i-2", "a", false)
 		k1.serve(n, 2)
 		k2.serve(n, 2)
+		k1.mu.Lock()
 		old := k1.rep
+		k1.mu.Unlock()
 		old.Tasks = nil
 		w.submit(n, spec("job-1", 1))
 		k1.serve(n, 2)
--- a/internal/controller/settle_test.go
+++ b/internal/controller/settle_test.go
@@ -70,9 +70,11 @@
 		st.closed.Store(false)
 		all(20)
 		for _, k := range ks {
+			k.mu.Lock()
 			if len(k.rep.Tasks) > 0 {
 				t.Errorf("%s still holds %d tasks that are done", k.rep.Machine, len(k.rep.Tasks))
 			}
+			k.mu.Unlock()
 		}
 		n.look(func(c *Controller) { w.same("jobs left", len(c.reign.jobs), 0) })
 	})
--- a/internal/controller/waits_test.go
+++ b/internal/controller/waits_test.go
@@ -10,8 +10,8 @@
 // An operator is told why jobs wait: each reason by itself.
 func TestWhyWorkWaits(t *testing.T) {
 	play(t, func(w *world) {
-		n := w.start("n0")
 		w.teams[0].CPUsMax = 100
+		n := w.start("n0")
 		large := spec("job-1", 8)
 		large.Team = "blue" // whose limit is 8
 		w.submit(n, large)
@@ -56,7 +56,7 @@
 	}{{2, true}, {4, false}, {0, false}} {
 		play(t, func(w *world) {
 			n := w.start("n0")
-			n.Policy.RestartLimit = c.limit
+			n.look(func(o *Controller) { o.Policy.RestartLimit = c.limit })
 			slow, well := w.worker("i-1", "a", false), w.worker("i-2", "a", false)
 			sp := spec("job-1", 8)
 			sp.EstimateS = 10
