Leases are renewed only by who knows which cancellations were told

The gap: the store refuses the leader alone, another node confirms cancellations, and the store is then down for longer than cancel_s while machines go on reporting to the leader. It was entitled to lead for 30 s and renewed their leases, not knowing.

A node that learns of a cancellation now keeps it in a log that its answers to pings carry; a leader renews leases for cancel_s - lease_s, less margins, after the last moment before which it knew all that was told: by a comparison that the store answered, or by all other nodes' logs, whole since then. A keeper vouches for no more than the leader's answer did. A final state that a node tells is at once in its own leader's memory too.

Not by a test yet: the first lease of a later term. The stand-in's watch let a refused node see changes; it now waits, as PROTOCOL has it.

--- a/internal/controller/around.go
+++ b/internal/controller/around.go
@@ -20,6 +20,10 @@
 	StoreOK time.Duration
 	// Incarnation is the one under which it relays reports.
 	Incarnation string
+	// Cancels is what it knows of cancellations, and Known how long ago it knew
+	// all of them as a leader; negative: it does not know.
+	Cancels CancelNews
+	Known   time.Duration
 }
 
 // around is what a node knows of the others and of its own way to the state
@@ -36,7 +40,8 @@
 // neighbour is another node as last heard of.
 type neighbour struct {
 	Standing
-	zone string
+	zone    string
+	cancels cancelReader
 	// termAt is when it was first heard to lead in its term.
 	termAt time.Time
 	seen   time.Time
@@ -124,10 +129,11 @@
 // keeps what the keeper must know up to date.
 func (c *Controller) watchPeer(ctx context.Context, node string) {
 	failed := 0
+	var from CancelPosition
 	for ctx.Err() == nil {
 		sent := time.Now()
 		pctx, cancel := context.WithTimeout(ctx, pingTimeout)
-		st, err := c.Peers.Ping(pctx, node)
+		st, err := c.Peers.Ping(pctx, node, from)
 		cancel()
 		failed++
 		if err == nil || errors.Is(err, api.ErrUnavailable) {
@@ -136,6 +142,9 @@
 		if c.send(ctx, peerMsg{node, st, sent, failed, errors.Is(err, ErrRefused)}) != nil {
 			return
 		}
+		if err == nil {
+			from = CancelPosition{Incarnation: st.Incarnation, Number: st.Cancels.end() - 1}
+		}
 		if failed >= unreachedAfter {
 			c.keepUp(ctx, node)
 		}
@@ -165,12 +174,25 @@
 	if m.st.Term != n.Term {
 		n.termAt = now
 	}
+	n.cancels.take(m.st.Incarnation, &m.st.Cancels, m.sent, now)
+	for _, id := range m.st.Cancels.IDs {
+		c.cancelled(id)
+	}
+	m.st.Cancels = CancelNews{}
 	n.Standing, n.seen = m.st, m.sent
 	if c.reign != nil {
 		c.reign.down.restarted(c.reign, m.node, m.st.Incarnation)
 	}
 	if m.node == c.leader {
-		c.keep.verify(m.node, m.st.Term, m.sent)
+		// The leader vouches for what it knows of cancellations itself. Those of
+		// earlier terms are in no log that must have come here: it only knows
+		// which jobs are left, and has told it to each machine that is still
+		// alive when a lease has passed.
+		known := m.sent.Add(-m.st.Known)
+		if w := c.Settings.Site.Workers; m.st.Known < 0 || m.st.Term > 1 && now.Sub(n.termAt) < w.Lease()+2*w.Report() {
+			known = time.Time{}
+		}
+		c.keep.verify(m.node, m.st.Term, known)
 	}
 }
 
@@ -233,8 +255,8 @@
 }
 
 // Standing is how this node stands.
-func (c *Controller) Standing(ctx context.Context) (Standing, error) {
-	m := standingMsg{make(chan Standing, 1)}
+func (c *Controller) Standing(ctx context.Context, from CancelPosition) (Standing, error) {
+	m := standingMsg{from, make(chan Standing, 1)}
 	if err := c.send(ctx, m); err != nil {
 		return Standing{}, err
 	}
@@ -246,13 +268,23 @@
 	}
 }
 
-type standingMsg struct{ reply chan Standing }
+type standingMsg struct {
+	from  CancelPosition
+	reply chan Standing
+}
 
 func (m standingMsg) apply(c *Controller) {
 	now := time.Now()
-	st := Standing{Leader: c.leader, Incarnation: c.up.incarnation}
+	st := Standing{Leader: c.leader, Incarnation: c.up.incarnation, Known: -1}
+	if m.from.Incarnation != st.Incarnation {
+		m.from.Number = 0
+	}
+	st.Cancels = c.cancels.news(m.from.Number, now)
 	if c.valid() {
 		st.Term = c.reign.term.Number
+		if c.reign.loaded {
+			st.Known = now.Sub(c.reign.knows(now))
+		}
 	}
 	if c.around.storeOK && now.Sub(c.around.storeAt) < 2*storeEvery {
 		st.StoreOK = max(now.Sub(c.around.storeSince), time.Millisecond)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -30,7 +30,8 @@
 	// Job returns ErrUnavailable when the node cannot answer.
 	Job(ctx context.Context, node, id string) (api.JobState, error)
 	// Ping returns how the node stands, if it can be reached.
-	Ping(ctx context.Context, node string) (Standing, error)
+	// What it knows of cancellations beyond a position comes with it.
+	Ping(ctx context.Context, node string, from CancelPosition) (Standing, error)
 	// Report passes a machine's report on to the leader. NotLeaderError means
 	// that the node does not lead, ErrRefused that connections are refused.
 	Report(ctx context.Context, node string, rep *api.Report) (api.ReportAnswer, error)
@@ -74,6 +75,7 @@
 	// directed is to whom machines were last told to report.
 	directed map[string]directed
 	final    *lru.Cache[string, api.JobState]
+	cancels  cancelLog
 }
 
 // message is what the owner goroutine is sent.
@@ -94,7 +96,8 @@
 	return &Controller{
 		Config: cfg, records: store.Records{Store: cfg.UserStore},
 		mail: make(chan message, 256), depose: make(chan uint64, 4), resigns: make(chan string, 4), final: final,
-		sent: map[string]time.Time{}, directed: map[string]directed{}, up: newRelayUp(), around: newAround(cfg.Settings.Peers, time.Now()),
+		sent: map[string]time.Time{}, directed: map[string]directed{}, up: newRelayUp(),
+		cancels: newCancelLog(cfg.Settings.Site.Workers, time.Now()), around: newAround(cfg.Settings.Peers, time.Now()),
 	}
 }
 
@@ -238,7 +241,11 @@
 	if reason := neverRuns(spec, c.Settings.Site.Teams, types); reason != "" {
 		return api.JobState{}, false, &api.NeverRunsError{Reason: reason}
 	}
-	return c.records.Accept(ctx, spec, time.Now())
+	st, created, err := c.records.Accept(ctx, spec, time.Now())
+	if err == nil && st.Final() {
+		err = c.send(ctx, finalMsg{st})
+	}
+	return st, created, err
 }
 
 // neverRuns says why a job can never run, or "".
@@ -319,7 +326,20 @@
 // finalMsg tells the owner of a final state.
 type finalMsg struct{ st api.JobState }
 
-func (m finalMsg) apply(c *Controller) { c.final.Add(m.st.ID, m.st) }
+// The leader's memory and the log of cancellations must not fall behind what
+// users are told: the store may be out of reach from the next moment on.
+func (m finalMsg) apply(c *Controller) {
+	if m.st.Phase == api.JobWithdrawn {
+		c.cancelled(m.st.ID)
+		return
+	}
+	if c.reign != nil {
+		if j := c.reign.jobs[m.st.ID]; j != nil {
+			c.reign.finished(j)
+		}
+	}
+	c.final.Add(m.st.ID, m.st)
+}
 
 // typesLife is how long the machine types are used before they are read again.
 const typesLife = time.Minute
--- /dev/null
+++ b/internal/controller/gap_test.go
@@ -0,0 +1,305 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/config"
+)
+
+// gapWorld is a leader a and a follower b, and a machine with two tasks of job-1
+// and one of job-2 that keeps its lease like a worker.
+type gapWorld struct {
+	*world
+	l      *links
+	a, b   *node
+	ga, gb *gate
+	k      *worker
+	began  time.Time
+	// told is when a user was told that job-1 is cancelled.
+	told time.Time
+	// heard is when the last answered report was sent.
+	heard time.Time
+	// lost is when job-2 was lost with the lease, without being cancelled.
+	lost time.Time
+}
+
+const gapLease = 10 * time.Second
+
+// gap plays a script of what happens when, in milliseconds, for some seconds. The
+// machine reports once a second to whoever answers. Whatever happens, job-1 is
+// gone in the time that its cancellation has.
+func gap(t *testing.T, seconds int, script map[int]func(g *gapWorld)) (lost time.Duration) {
+	t.Helper()
+	play(t, func(w *world) {
+		g := &gapWorld{world: w}
+		g.l, g.a, g.b, g.ga, g.gb = w.pair()
+		g.k = w.worker("i-1", "", false)
+		w.submit(g.a, spec("job-1", 2))
+		w.submit(g.a, spec("job-2", 1))
+		g.k.serve(g.a, 4)
+		w.same("running", len(g.k.running()), 3)
+		g.began, g.heard = time.Now(), time.Now()
+		for ms := 0; ms < seconds*1000; ms += 50 {
+			if f := script[ms]; f != nil {
+				f(g)
+			}
+			if ms%1000 == 450 {
+				g.round()
+			}
+			g.check()
+			time.Sleep(50 * time.Millisecond)
+		}
+		w.same("cancellation told", g.told.IsZero(), false)
+		if !g.lost.IsZero() {
+			lost = g.lost.Sub(g.began)
+		}
+	})
+	return lost
+}
+
+// round is one report, and the end of the lease if none was answered.
+func (g *gapWorld) round() {
+	for _, n := range []*node{g.a, g.b} {
+		sent := time.Now()
+		if orders, err := g.k.send(n); err == nil {
+			g.k.obey(orders)
+			g.heard = sent
+			break
+		}
+	}
+	g.expire()
+}
+
+func (g *gapWorld) expire() {
+	if time.Since(g.heard) <= gapLease {
+		return
+	}
+	g.k.mu.Lock()
+	defer g.k.mu.Unlock()
+	if len(g.k.rep.Tasks) > 0 && g.lost.IsZero() {
+		g.lost = time.Now()
+	}
+	g.k.rep.Tasks, g.heard = nil, time.Now()
+	g.k.rep.Session++
+}
+
+func (g *gapWorld) check() {
+	g.expire()
+	if g.told.IsZero() || time.Since(g.told) <= 30*time.Second {
+		return
+	}
+	for _, task := range g.k.running() {
+		if strings.HasPrefix(task, "job-1/") {
+			g.t.Fatalf("%s runs %v after its cancellation was told", task, time.Since(g.told))
+		}
+	}
+}
+
+func (g *gapWorld) cancelAt(n *node) {
+	st, err := n.Abort(context.Background(), "job-1")
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.same("cancelled", st.Phase, api.JobWithdrawn)
+	g.told = time.Now()
+}
+
+// The store refuses the leader alone, another node confirms a cancellation, and
+// then the store is down for everybody for longer than a cancellation may take,
+// while machines go on reporting to the leader. It hears of the cancellation
+// from the other node, and all else goes on; or, without proof that it knows all
+// of them, it renews no lease so late that a cancelled task could live too long.
+func TestCancellationsToldWhileTheLeaderIsRefused(t *testing.T) {
+	refuse := func(g *gapWorld) { g.ga.set(true) }
+	down := func(g *gapWorld) { g.store.SetDown(true) }
+	cancel := func(g *gapWorld) { g.cancelAt(g.b) }
+	apart := func(g *gapWorld) { g.l.cut.Store(true) }
+	restart := func(g *gapWorld) {
+		g.b.crash()
+		g.b = g.l.add("n1", g.startWith("n1", g.gb, g.l))
+	}
+	for _, c := range []struct {
+		name   string
+		script map[int]func(g *gapWorld)
+		// kept says that all that was not cancelled lives as long as the
+		// leadership and a lease.
+		kept bool
+	}{
+		{"refused, cancelled, down", map[int]func(*gapWorld){1000: refuse, 2000: cancel, 3000: down}, true},
+		{"cancelled at the moment of the refusal", map[int]func(*gapWorld){1000: refuse, 1050: cancel, 1100: down}, true},
+		{"cancelled just before the refusal", map[int]func(*gapWorld){1000: cancel, 1050: refuse, 1100: down}, true},
+		{"nobody refused", map[int]func(*gapWorld){1000: cancel, 3000: down}, true},
+		{"the confirming node ends at once", map[int]func(*gapWorld){1000: refuse, 2000: cancel, 2050: restart, 3000: down}, false},
+		{"it ends in the outage", map[int]func(*gapWorld){1000: refuse, 2000: cancel, 2050: down, 2100: restart}, false},
+		{"it never comes back", map[int]func(*gapWorld){1000: refuse, 2000: cancel, 2050: func(g *gapWorld) { g.b.crash(); apart(g) }, 3000: down}, false},
+		{"the nodes apart too", map[int]func(*gapWorld){1000: refuse, 1050: apart, 2000: cancel, 3000: down}, false},
+		{"apart first", map[int]func(*gapWorld){1000: apart, 1050: cancel, 1100: refuse, 1150: down}, false},
+		{"apart for a while", map[int]func(*gapWorld){1000: refuse, 1050: apart, 2000: cancel, 3000: down,
+			5000: func(g *gapWorld) { g.l.cut.Store(false) }}, true},
+		{"told by a node that only read it", map[int]func(*gapWorld){1000: refuse, 2000: func(g *gapWorld) {
+			// Cancelled by a node that has ended since, without a word.
+			other := g.startWith("n9", g.store, nil)
+			if _, err := other.Abort(context.Background(), "job-1"); err != nil {
+				g.t.Fatal(err)
+			}
+			other.crash()
+		}, 2550: func(g *gapWorld) {
+			g.same("asked", g.phase(g.b, "job-1"), api.JobWithdrawn)
+			g.told = time.Now()
+		}, 2600: down}, true},
+		{"told to a repeated submission", map[int]func(*gapWorld){1000: refuse, 2000: func(g *gapWorld) {
+			other := g.startWith("n9", g.store, nil)
+			if _, err := other.Abort(context.Background(), "job-1"); err != nil {
+				g.t.Fatal(err)
+			}
+			other.crash()
+		}, 2550: func(g *gapWorld) {
+			st, _, err := g.b.Submit(context.Background(), spec("job-1", 2))
+			if err != nil {
+				g.t.Fatal(err)
+			}
+			g.same("repeated", st.Phase, api.JobWithdrawn)
+			g.told = time.Now()
+		}, 2600: down}, true},
+		{"told by the leader itself, whose watch is dead", map[int]func(*gapWorld){1000: func(g *gapWorld) {
+			g.store.SetBlind(true)
+			g.cancelAt(g.a)
+		}, 1050: down}, true},
+		{"a second leader, refused in turn", map[int]func(*gapWorld){1000: refuse, 14_000: func(g *gapWorld) {
+			g.same("the other leads", g.b.valid(), true)
+			g.ga.set(false)
+		}, 24_000: func(g *gapWorld) { g.gb.set(true) }, 25_000: func(g *gapWorld) { g.cancelAt(g.a) }, 25_050: down}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			lost := gap(t, 80, c.script)
+			if kept := lost == 0 || lost > 34*time.Second; kept != c.kept {
+				t.Errorf("what was not cancelled lived until %v", lost)
+			}
+		})
+	}
+	// Whatever the moments, within the leader's rounds of questions.
+	for ms := 50; ms <= 2400; ms += 150 {
+		gap(t, 45, map[int]func(*gapWorld){1000: refuse, 1000 + ms/50*50: cancel, 1050 + ms/50*50: down})
+		gap(t, 45, map[int]func(*gapWorld){1000: refuse, 1000 + ms/50*50: cancel, 1050 + ms/50*50: restart, 1100 + ms/50*50: down})
+	}
+}
+
+// A plain outage that is longer than a cancellation may take costs no task as
+// long as the leadership and a lease cover it, since the nodes vouch for each
+// other. Should one of them not answer, leases end in time.
+func TestOutageLongerThanACancellation(t *testing.T) {
+	told := func(g *gapWorld) { g.cancelAt(g.b) }
+	down, up := func(g *gapWorld) { g.store.SetDown(true) }, func(g *gapWorld) { g.store.SetDown(false) }
+	if lost := gap(t, 60, map[int]func(*gapWorld){500: told, 3000: down, 35_500: up}); lost != 0 {
+		t.Errorf("lost after %v", lost)
+	}
+	lost := gap(t, 60, map[int]func(*gapWorld){500: told, 3000: down, 4000: func(g *gapWorld) { g.b.crash(); g.l.cut.Store(true) }, 35_500: up})
+	if lost < 20*time.Second || lost > 34*time.Second {
+		t.Errorf("a node missing: lost after %v", lost)
+	}
+}
+
+// With a lease as long as a cancellation may take nothing can be promised of it,
+// but machines are served while the store answers.
+func TestServiceWithoutRoomForProof(t *testing.T) {
+	for _, cancel := range []float64{0.5, 9, 10, 10.6, 12, 20.5} {
+		play(t, func(w *world) {
+			w.cancelS = cancel
+			_, a, b, _, _ := w.pair()
+			k := w.worker("i-1", "", false)
+			w.submit(a, spec("job-1", 2))
+			for range 30 {
+				orders, err := k.send(a)
+				if err != nil {
+					t.Fatalf("cancel_s %v: not answered: %v", cancel, err)
+				}
+				k.obey(orders)
+				time.Sleep(time.Second)
+			}
+			k.serve(a, 3)
+			w.same("running", len(k.running()), 2)
+			if _, err := b.Abort(context.Background(), "job-1"); err != nil {
+				t.Fatal(err)
+			}
+			k.serve(a, 3)
+			w.same("stopped", len(k.running()), 0)
+		})
+	}
+}
+
+// readLog reads a log as another node does.
+func readLog(l *cancelLog, p *cancelReader, incarnation string, now time.Time) []string {
+	from := p.pos.Number
+	if p.pos.Incarnation != incarnation {
+		from = 0
+	}
+	n := l.news(from, now)
+	p.take(incarnation, &n, now, now)
+	return n.IDs
+}
+
+// A log is read in order and once; what it has dropped, or lost with its
+// process, counts as not known.
+func TestCancelLog(t *testing.T) {
+	w := config.Workers{LeaseS: 10, CancelS: 30}
+	start := time.Unix(1_000_000, 0)
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	l := newCancelLog(w, start)
+	var p cancelReader
+	if ids := readLog(&l, &p, "x", at(1)); len(ids) != 0 || !p.whole.Equal(start) || !p.until.Equal(at(1)) {
+		t.Fatalf("empty: %v %+v", ids, p)
+	}
+	l.add("job-1", at(2))
+	l.add("job-2", at(2))
+	l.add("job-1", at(3))
+	if ids := readLog(&l, &p, "x", at(4)); !slices.Equal(ids, []string{"job-1", "job-2"}) || !p.whole.Equal(start) || !p.until.Equal(at(4)) {
+		t.Fatalf("two: %v %+v", ids, p)
+	}
+	if ids := readLog(&l, &p, "x", at(5)); len(ids) != 0 || !p.whole.Equal(start) {
+		t.Fatalf("again: %v %+v", ids, p)
+	}
+	// Far too many at once: they come in parts, and the last of them counts.
+	for i := range maxCancelNews + 1 {
+		l.add(fmt.Sprint("many-", i), at(6))
+	}
+	if ids := readLog(&l, &p, "x", at(7)); len(ids) != maxCancelNews || !p.until.Equal(at(5)) {
+		t.Fatalf("part: %d %+v", len(ids), p)
+	}
+	if ids := readLog(&l, &p, "x", at(8)); len(ids) != 1 || !p.until.Equal(at(8)) || !p.whole.Equal(start) {
+		t.Fatalf("rest: %v %+v", ids, p)
+	}
+	// More than it can hold while nobody asked: from then on it is not whole.
+	for i := range maxCancelLog + 5 {
+		l.add(fmt.Sprint("more-", i), at(9))
+	}
+	if len(l.entries) > maxCancelLog || len(l.known) != len(l.entries) {
+		t.Fatalf("holds %d and %d", len(l.entries), len(l.known))
+	}
+	readLog(&l, &p, "x", at(10))
+	if p.whole.Before(at(9)) {
+		t.Fatalf("whole from %v on though entries were dropped", p.whole)
+	}
+	// Old ones are forgotten, and the reader that has them is not troubled.
+	var q cancelReader
+	l = newCancelLog(w, start)
+	l.add("job-1", at(1))
+	readLog(&l, &q, "x", at(2))
+	l.add("job-2", at(200))
+	if ids := readLog(&l, &q, "x", at(201)); len(l.entries) != 1 || !slices.Equal(ids, []string{"job-2"}) || !q.whole.Equal(start) {
+		t.Fatalf("old: %v %+v", ids, q)
+	}
+	// Another process has another log, though the numbers fit.
+	l = newCancelLog(w, at(300))
+	l.add("job-7", at(301))
+	l.add("job-8", at(301))
+	l.add("job-9", at(301))
+	if ids := readLog(&l, &q, "y", at(302)); len(ids) != 3 || q.whole.Before(at(300)) {
+		t.Fatalf("restarted: %v %+v", ids, q)
+	}
+}
--- a/internal/controller/gate.go
+++ b/internal/controller/gate.go
@@ -88,6 +88,10 @@
 			m.reply <- reportReply{err: &api.NotLeaderError{Leader: node}}
 			return
 		}
+		if !c.reign.informed(now) && m.rep.Term <= c.reign.term.Number {
+			m.reply <- reportReply{err: api.ErrUnavailable}
+			return
+		}
 		ans, err := c.reign.report(m.rep, now)
 		if mc := c.reign.machines[m.rep.Machine]; mc != nil {
 			mc.passed = m.passed
@@ -125,7 +129,7 @@
 		return
 	}
 	unreached := m.unreached == leader || !c.around.nodes[leader].reached(now)
-	if ans, ok := c.keep.answer(m.rep, leader, c.keepFor(), unreached, now); ok {
+	if ans, ok := c.keepAnswer(m.rep, leader, unreached, now); ok {
 		c.up.note(c, m.rep, &ans, now)
 		m.reply <- reportReply{ans: ans}
 		return
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -87,6 +88,8 @@
 	// director takes the orders sent straight to machines; nil: none are sent.
 	director Director
 	reportS  float64
+	// cancelS is how long a cancellation may take; 0: 30 s.
+	cancelS float64
 	// zones are the nodes' zones.
 	zones map[string]string
 	// dead are the machines that do not answer when asked directly, and tardy
@@ -182,8 +185,10 @@
 	return g.Fake.Extend(ctx, lease)
 }
 
-// Watch hangs while the gate is closed, as an open watch does.
+// Watch hangs while the gate is closed, also one that was open before: what it
+// sees meanwhile is told when the gate is open again.
 func (g *gate) Watch(ctx context.Context, prefix string, from uint64, block time.Duration) (store.Changes, error) {
+	ch, err := g.Fake.Watch(ctx, prefix, from, block)
 	for g.err() != nil {
 		select {
 		case <-ctx.Done():
@@ -191,7 +196,7 @@
 		case <-time.After(100 * time.Millisecond):
 		}
 	}
-	return g.Fake.Watch(ctx, prefix, from, block)
+	return ch, err
 }
 
 // node is a controller that can be crashed.
@@ -227,7 +232,7 @@
 	pol.MinCPUs = 100 // no machine is spare
 	s := &config.Settings{Node: name, Zone: w.zones[name], Site: config.SiteInfo{Teams: w.teams,
 		Objectives: []config.Objective{{Kind: "finished", Class: "c", WithinS: 90}},
-		Workers:    config.Workers{ReportS: max(1, w.reportS), LeaseS: max(10, 5*w.reportS), CancelS: 30},
+		Workers:    config.Workers{ReportS: max(1, w.reportS), LeaseS: max(10, 5*w.reportS), CancelS: cmp.Or(w.cancelS, 30)},
 		State:      config.StateLimits{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
 		Cloud:      config.CloudLimits{RPS: 5, ListLagS: 4},
 		Limits:     config.Limits{FDLimit: 2400}}}
--- a/internal/controller/keep.go
+++ b/internal/controller/keep.go
@@ -19,10 +19,11 @@
 // answers renew the lease under the leader's term, and stop the tasks of jobs
 // that are over, since a cancellation must reach them in time.
 //
-// It is entitled to that for a bounded time after the leader's last answer to a
-// ping, or after the store has shown that the leader's term is the present one:
-// a job that is cancelled later than that is still gone from the machines in
-// time, because their leases have ended by then. A later leader treats the
+// It is entitled to that for a bounded time after a moment before which the
+// leader knew of all cancellations, as it told in its last answer to a ping, or
+// after the store has shown that the leader's term is the present one and which
+// jobs are active: a job that is cancelled later than that is still gone from
+// the machines in time, because their leases have ended by then. A later leader treats the
 // machines as unheard until they report to it, so nothing is started twice.
 type keeper struct {
 	leader   string
@@ -43,8 +44,8 @@
 	justShown = 5 * time.Second
 	// keptFor is how long the leader relies on what another node published.
 	keptFor = 8 * time.Second
-	// keepMargin is kept back of the time that a cancellation has: the leader
-	// may have been late by one watch in hearing of it.
+	// keepMargin is kept back of the time that a cancellation has, besides two
+	// reports: what is told of a cancellation may be late by one watch.
 	keepMargin = watchTimeout + time.Second
 )
 
@@ -54,19 +55,14 @@
 	return config.Seconds(w.CancelS) - w.Lease() - 2*w.Report() - keepMargin
 }
 
-// answer answers a report in the leader's stead, if this node may.
-func (k *keeper) answer(rep *api.Report, leader string, keepFor time.Duration, unreached bool, now time.Time) (api.ReportAnswer, bool) {
-	if !(k.away || unreached) || leader == "" || leader != k.leader || now.Sub(k.verified) > keepFor || k.term == 0 || !k.mayTell(rep.Term, now) {
+// keepAnswer answers a report in the leader's stead, if this node may.
+func (c *Controller) keepAnswer(rep *api.Report, leader string, unreached bool, now time.Time) (api.ReportAnswer, bool) {
+	k := &c.keep
+	if !(k.away || unreached) || leader == "" || leader != k.leader || now.Sub(k.verified) > c.keepFor() || k.term == 0 || !k.mayTell(rep.Term, now) {
 		return api.ReportAnswer{}, false
 	}
-	ans := api.ReportAnswer{Term: k.term, Orders: []api.Order{}}
-	for _, t := range rep.Tasks {
-		id, _, _ := splitRef(t.Task)
-		if k.active != nil && t.Phase != api.TaskExited && !k.active[id] && len(ans.Orders) < maxOrders {
-			grace := 0.0
-			ans.Orders = append(ans.Orders, api.Order{Verb: api.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: &grace})
-		}
-	}
+	over := func(id string) bool { return k.active != nil && !k.active[id] }
+	ans := api.ReportAnswer{Term: k.term, Orders: c.stopCancelled(rep, over)}
 	if k.hosts == nil {
 		k.hosts = map[string]time.Time{}
 	}
--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -138,6 +138,9 @@
 	r       *reign
 	waiting []*pollMsg
 	busy    bool
+	// last is when the store was last asked. It is so from time to time even if
+	// nobody polls: the leader must know that it knows all cancellations.
+	last time.Time
 }
 
 func (f *confirmer) add(m *pollMsg) {
@@ -146,18 +149,19 @@
 }
 
 func (f *confirmer) start() {
-	if f.busy || len(f.waiting) == 0 {
+	if f.busy || (len(f.waiting) == 0 && time.Since(f.last) < f.r.c.vouchEvery()) {
 		return
 	}
+	f.last = time.Now()
 	f.busy = true
-	r, batch := f.r, f.waiting
+	r, batch, sent := f.r, f.waiting, f.last
 	f.waiting = nil
 	txn := store.Txn{Guards: []store.Guard{r.termGuard(), {Key: store.CancelKey, Mark: r.cancelMark}}}
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, 700*time.Millisecond)
 		defer cancel()
 		res, err := r.c.Store.Txn(ctx, txn)
-		r.post(confirmedMsg{r, batch, res, err})
+		r.post(confirmedMsg{r, batch, sent, res, err})
 	}()
 }
 
@@ -168,6 +172,7 @@
 type confirmedMsg struct {
 	r     *reign
 	batch []*pollMsg
+	sent  time.Time
 	res   store.Result
 	err   error
 }
@@ -180,6 +185,7 @@
 			p.reply <- pollReply{err: api.ErrUnavailable}
 		}
 	case m.res.OK:
+		m.r.vouched = m.sent
 		for _, p := range m.batch {
 			p.reply <- m.r.answer(p.id)
 		}
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -29,7 +29,10 @@
 	until  time.Time
 	began  time.Time
 
-	loaded     bool
+	loaded bool
+	// vouched is when the store was last asked that has answered that all
+	// cancellations were known.
+	vouched    time.Time
 	cancelMark uint64
 	attempts   uint32
 
@@ -241,9 +244,7 @@
 				c.Log.Error("cancel record", "err", err)
 				continue
 			}
-			if j := r.jobs[id]; j != nil && e.Mark > j.mark {
-				r.withdraw(j)
-			}
+			c.cancelled(id)
 		case e.Put != "":
 			r.addJob(e.Put, e.Value, e.Mark)
 		default:
@@ -328,7 +329,7 @@
 // the answers to its machines' reports.
 func (r *reign) withdraw(j *job) {
 	r.forget(j)
-	r.c.final.Add(j.spec.ID, api.JobState{ID: j.spec.ID, Phase: api.JobWithdrawn})
+	r.c.cancelled(j.spec.ID)
 	for _, a := range j.live {
 		r.settleUnsure(a)
 	}
@@ -373,10 +374,11 @@
 	if !r.loaded || !r.c.valid() {
 		return
 	}
-	if r.deaf(now) {
+	r.confirm.start()
+	r.recorder.flush(now)
+	if !r.informed(now) || r.deaf(now) {
 		return
 	}
-	r.recorder.flush(now)
 	r.dispatch(now)
 	r.down.tick(r, now)
 	if now.Before(r.nextScan) {
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -43,7 +43,10 @@
 		return ans, &api.NotLeaderError{}
 	}
 	if !r.loaded {
-		return ans, nil // keeps the lease and makes the machine heard
+		// This keeps the lease and makes the machine heard. What is known to be
+		// cancelled must not live on by it.
+		ans.Orders = r.c.stopCancelled(rep, nil)
+		return ans, nil
 	}
 	if r.returned.Contains(rep.Machine) {
 		return ans, api.ErrUnavailable // given back; this was held up on its way
--- a/internal/controller/rules_test.go
+++ b/internal/controller/rules_test.go
@@ -688,7 +688,7 @@
 	return n.PeerJob(ctx, id)
 }
 
-func (l *links) Ping(ctx context.Context, name string) (Standing, error) {
+func (l *links) Ping(ctx context.Context, name string, from CancelPosition) (Standing, error) {
 	n, err := l.to(name)
 	if err != nil {
 		if l.refuse.Load() {
@@ -696,7 +696,7 @@
 		}
 		return Standing{}, err
 	}
-	return n.Standing(ctx)
+	return n.Standing(ctx, from)
 }
 
 func (l *links) Report(ctx context.Context, name string, rep *api.Report) (api.ReportAnswer, error) {
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -11,6 +11,7 @@
 
 // snapshot is what a new leader reads of the store.
 type snapshot struct {
+	asked      time.Time
 	ring       uint64
 	cancelMark uint64
 	active     []store.Entry
@@ -33,7 +34,7 @@
 }
 
 func (r *reign) read() (*snapshot, error) {
-	var s snapshot
+	s := snapshot{asked: time.Now()}
 	var err error
 	// The active jobs come first: their revision is where the watch begins.
 	if s.active, s.ring, err = r.readAll(store.ActivePrefix); err != nil {
@@ -96,7 +97,7 @@
 	for _, e := range m.s.machines {
 		r.addSheet(e, now)
 	}
-	r.loaded, r.listening = true, now
+	r.loaded, r.listening, r.vouched = true, now, m.s.asked
 	if c.Director != nil {
 		r.greetNext(now)
 	}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/config"
 	"example.org/ivytrestle/internal/controller"
@@ -32,14 +34,20 @@
 }
 
 // Ping implements peer.Handler.
-func (h peerHandler) Ping(ctx context.Context) (*peer.Pong, error) {
+func (h peerHandler) Ping(ctx context.Context, p *peer.Ping) (*peer.Pong, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerWait)
 	defer cancel()
-	st, err := h.c.Standing(ctx)
+	st, err := h.c.Standing(ctx, controller.CancelPosition{Incarnation: p.GetIncarnation(), Number: p.GetCancelNumber()})
 	if err != nil {
 		return nil, err
 	}
-	return &peer.Pong{Term: st.Term, Leader: st.Leader, StoreOkMs: uint64(st.StoreOK.Milliseconds()), Incarnation: st.Incarnation}, nil
+	pong := &peer.Pong{Term: st.Term, Leader: st.Leader, StoreOkMs: uint64(st.StoreOK.Milliseconds()), Incarnation: st.Incarnation,
+		Cancelled: st.Cancels.IDs, CancelFirst: st.Cancels.First, CancelMore: st.Cancels.More, CancelWholeMs: uint64(st.Cancels.Whole.Milliseconds())}
+	if st.Known >= 0 {
+		// Rounded up: it must not seem fresher than it is.
+		pong.KnownAgeMs = proto.Uint64(uint64(st.Known.Milliseconds()) + 1)
+	}
+	return pong, nil
 }
 
 // Report implements peer.Handler.
@@ -86,20 +94,25 @@
 }
 
 // Ping implements controller.PeerAsker.
-func (p peers) Ping(ctx context.Context, node string) (controller.Standing, error) {
+func (p peers) Ping(ctx context.Context, node string, from controller.CancelPosition) (controller.Standing, error) {
 	cl := p[node]
 	if cl == nil {
 		return controller.Standing{}, api.ErrUnavailable
 	}
-	st, err := cl.Ping(ctx)
+	st, err := cl.Ping(ctx, &peer.Ping{Incarnation: from.Incarnation, CancelNumber: from.Number})
 	if errors.Is(err, peer.ErrRefused) {
 		err = controller.ErrRefused
 	}
 	if err != nil {
 		return controller.Standing{}, err
 	}
-	return controller.Standing{Term: st.Term, Leader: st.Leader, StoreOK: time.Duration(st.StoreOkMs) * time.Millisecond,
-		Incarnation: st.Incarnation}, nil
+	out := controller.Standing{Term: st.Term, Leader: st.Leader, StoreOK: time.Duration(st.StoreOkMs) * time.Millisecond,
+		Incarnation: st.Incarnation, Known: -1, Cancels: controller.CancelNews{IDs: st.Cancelled, First: st.CancelFirst, More: st.CancelMore,
+			Whole: time.Duration(st.CancelWholeMs) * time.Millisecond}}
+	if st.KnownAgeMs != nil {
+		out.Known = time.Duration(*st.KnownAgeMs) * time.Millisecond
+	}
+	return out, nil
 }
 
 // Report implements controller.PeerAsker.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -34,7 +34,7 @@
 type Handler interface {
 	Job(ctx context.Context, id string) (*JobStatus, error)
 	// Ping tells how this node stands.
-	Ping(ctx context.Context) (*Pong, error)
+	Ping(ctx context.Context, p *Ping) (*Pong, error)
 	// Report answers a machine's report in the leader's name.
 	Report(ctx context.Context, r *Report) (*ReportAnswer, error)
 	// Resigned takes in that the leader of a term has stopped to act.
@@ -116,7 +116,7 @@
 	resp, err := &Response{}, error(nil)
 	switch k := req.Kind.(type) {
 	case *Request_Ping:
-		resp.Pong, err = h.Ping(ctx)
+		resp.Pong, err = h.Ping(ctx, k.Ping)
 	case *Request_Job:
 		resp.Job, err = h.Job(ctx, k.Job.GetId())
 	case *Request_Report:
@@ -273,8 +273,8 @@
 }
 
 // Ping asks how the peer stands, if it can be reached.
-func (c *Client) Ping(ctx context.Context) (*Pong, error) {
-	resp, err := c.ask(ctx, &Request{Kind: &Request_Ping{Ping: &Ping{}}})
+func (c *Client) Ping(ctx context.Context, p *Ping) (*Pong, error) {
+	resp, err := c.ask(ctx, &Request{Kind: &Request_Ping{Ping: p}})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -25,7 +25,9 @@
 	return nil, errors.New("not the leader")
 }
 
-func (a answers) Ping(context.Context) (*Pong, error) { return &Pong{Term: a.term, Leader: "n1"}, nil }
+func (a answers) Ping(context.Context, *Ping) (*Pong, error) {
+	return &Pong{Term: a.term, Leader: "n1"}, nil
+}
 
 func (a answers) Report(_ context.Context, r *Report) (*ReportAnswer, error) {
 	if r.Term > a.term {
@@ -66,7 +68,7 @@
 	if _, err := c.Job(ctx, "job-3"); !errors.Is(err, ErrUnable) {
 		t.Errorf("no leader: %v", err)
 	}
-	if p, err := c.Ping(ctx); err != nil || p.Term != 9 || p.Leader != "n1" {
+	if p, err := c.Ping(ctx, &Ping{}); err != nil || p.Term != 9 || p.Leader != "n1" {
 		t.Errorf("ping: %v, %v", p, err)
 	}
 	rep := &Report{Machine: "i-1", Term: 9, Tasks: []*TaskReport{{Task: "job-1/2"}}}
@@ -99,7 +101,7 @@
 			breakIt(far)
 		}()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-		if _, err := c.Ping(ctx); err == nil || ctx.Err() != nil {
+		if _, err := c.Ping(ctx, &Ping{}); err == nil || ctx.Err() != nil {
 			t.Errorf("%s: %v", name, err)
 		}
 		cancel()
@@ -132,7 +134,7 @@
 	for range more {
 		<-refused
 	}
-	if _, err := c.Ping(ctx); err != nil {
+	if _, err := c.Ping(ctx, &Ping{}); err != nil {
 		t.Errorf("ping: %v", err)
 	}
 	rep := &Report{Machine: "i-1", Term: 9, Tasks: []*TaskReport{{Task: "job-1/2"}}}
