--- a/internal/controller/gap_test.go
+++ b/internal/controller/gap_test.go
@@ -303,3 +303,44 @@
 		t.Fatalf("restarted: %v %+v", ids, q)
 	}
 }
+
+// A leader that has just begun knows of earlier cancellations only by what is
+// left in the store: its answers to pings do not bring them. So a node that
+// keeps its machines relies on them only when each machine that is still alive
+// must have been answered in this term.
+func TestKeeperDoesNotRelyOnALeaderThatJustBegan(t *testing.T) {
+	for after := 9 * time.Second; after < gapLease; after += 100 * time.Millisecond {
+		play(t, func(w *world) {
+			l, a, b, _, gb := w.pair()
+			k := w.worker("i-1", "", false)
+			w.submit(a, spec("job-1", 2))
+			k.serve(a, 4)
+			w.same("running", len(k.running()), 2)
+			gone := w.startWith("n9", w.store, nil) // tells the user, and then nobody
+			k.report(a)
+			a.crash()
+			if _, err := gone.Abort(context.Background(), "job-1"); err != nil {
+				t.Fatal(err)
+			}
+			told := time.Now()
+			gone.crash()
+			a = l.add("n0", w.startWith("n0", w.store, l))
+			time.Sleep(after - time.Since(told))
+			a.look(func(c *Controller) { k.rep.Term = c.reign.term.Number }) // it was greeted
+			w.same("second term", k.rep.Term > 1, true)
+			l.cut.Store(true)
+			gb.set(true)
+			var heard time.Time
+			for range 300 {
+				if orders, err := k.send(b); err == nil {
+					k.obey(orders)
+					heard = time.Now()
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			if end := heard.Add(gapLease); len(k.running()) > 0 && end.After(told.Add(30*time.Second)) {
+				t.Errorf("cut after %v: a cancelled task may run for %v", after, end.Sub(told))
+			}
+		})
+	}
+}
