A leader that may not hear of cancellations starts nothing

Cut from the state service and the other nodes but not from its workers, it went on starting tasks of jobs that users had called off at other nodes, for up to half a minute. It now starts only while it knew of all cancellations within a round of questions and a second, or while another node sees the outage too.

Seen to fail with the check in place() out.

--- a/internal/controller/cancelled.go
+++ b/internal/controller/cancelled.go
@@ -168,6 +168,9 @@
 	// the store.
 	loadWithin = 4 * time.Second
 	leastVouch = 300 * time.Millisecond
+	// startSlack is how late the answer to a round of questions may be before
+	// nothing is started any more.
+	startSlack = time.Second
 	mostVouch  = 2 * time.Second
 )
 
@@ -206,6 +209,22 @@
 	return now.Sub(r.knows(now)) <= max(r.c.renewFor(), leastRenew)
 }
 
+// mayStart tells whether this leader may start tasks. One that has lost the
+// state service and all other nodes, but not its workers, would start for half a
+// minute what users have called off elsewhere. In an outage that the others see
+// as well nobody can call anything off.
+func (r *reign) mayStart(now time.Time) bool {
+	if now.Sub(r.knows(now)) <= r.c.vouchEvery()+startSlack {
+		return true
+	}
+	for _, n := range r.c.around.nodes {
+		if n.reached(now) && n.StoreOK == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // vouchEvery is how often the store is asked whether all cancellations are known.
 func (c *Controller) vouchEvery() time.Duration {
 	return min(max(c.renewFor()/8, leastVouch), mostVouch)
--- a/internal/controller/gap_test.go
+++ b/internal/controller/gap_test.go
@@ -205,6 +205,40 @@
 	}
 }
 
+// A leader that has lost the store and the other nodes, but not its workers,
+// soon starts nothing any more, since anything may have been called off; in an
+// outage that another node sees as well it goes on.
+func TestLeaderThatHearsOfNoCancellationStartsNothing(t *testing.T) {
+	for _, alone := range []bool{true, false} {
+		for ms := 0; ms < 3000; ms += 300 {
+			play(t, func(w *world) {
+				l, a, b, ga, _ := w.pair()
+				k := w.worker("i-1", "", false)
+				w.submit(a, spec("job-1", 6))
+				k.serve(a, 3)
+				w.same("running", len(k.running()), 4)
+				time.Sleep(time.Duration(ms) * time.Millisecond)
+				if alone {
+					ga.set(true)
+					l.cut.Store(true)
+					if _, err := b.Abort(context.Background(), "job-1"); err != nil {
+						t.Fatal(err)
+					}
+				} else {
+					w.store.SetDown(true)
+				}
+				k.serve(a, 4)
+				k.exit(api.CauseDone)
+				before := len(k.running())
+				k.serve(a, 4)
+				if started := len(k.running()) - before; started > 0 == alone {
+					t.Errorf("alone %v after %d ms: %d started", alone, ms, started)
+				}
+			})
+		}
+	}
+}
+
 // With a lease as long as a cancellation may take nothing can be promised of it,
 // but machines are served while the store answers.
 func TestServiceWithoutRoomForProof(t *testing.T) {
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -380,7 +380,7 @@
 
 // place pulls tasks for a machine with free room.
 func (r *reign) place(m *machine, orders []api.Order, now time.Time) []api.Order {
-	if !m.open(now) {
+	if !m.open(now) || !r.mayStart(now) {
 		return orders
 	}
 	m.lookFetches()
