Names of a submission's fields are told apart by case

The decoder takes a field whose name differs in case only for the one that it resembles. By the protocol such a field is unknown and to be ignored; it replaced the true one ("shoots":99 the 16 of "Shoots", "nameid" the id) or stood for one that was missing, which should get 400. Only fields of the exact names are decoded now, and of one that comes twice only the last.

Found by TestNamesOfFieldsAreExact and TestFieldsThatComeTwice, which fail without it.

--- a/internal/api/wire.go
+++ b/internal/api/wire.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"reflect"
 	"regexp"
 	"strings"
 	"time"
@@ -118,25 +119,45 @@
 // but names a well-formed id, that id is returned with the error, since the
 // repeat of a known job is answered whatever else it holds.
 func ParseSubmission(body []byte) (spec *JobSpec, id string, err error) {
-	var named struct {
-		ID any `json:"NameId"`
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, "", fmt.Errorf("not a valid job: %w", err)
 	}
-	if json.Unmarshal(body, &named) == nil {
-		if s, ok := named.ID.(string); ok && ValidID(s) {
-			id = s
+	if fields == nil {
+		return nil, "", errors.New("not an object")
+	}
+	// The decoder would take a field whose name differs in case only for the
+	// one that it resembles; by the protocol it is an unknown one. What comes
+	// twice is here once.
+	for name := range fields {
+		if !submissionFields[name] {
+			delete(fields, name)
 		}
 	}
-	var in *submission
-	if err := json.Unmarshal(body, &in); err != nil {
+	if json.Unmarshal(fields["NameId"], &id) != nil || !ValidID(id) {
+		id = ""
+	}
+	known, err := json.Marshal(fields)
+	if err != nil {
 		return nil, id, fmt.Errorf("not a valid job: %w", err)
 	}
-	if in == nil {
-		return nil, id, errors.New("not an object")
+	var in submission
+	if err := json.Unmarshal(known, &in); err != nil {
+		return nil, id, fmt.Errorf("not a valid job: %w", err)
 	}
 	spec, err = in.spec()
 	return spec, id, err
 }
 
+// submissionFields are the names of a submission's fields.
+var submissionFields = func() map[string]bool {
+	names := map[string]bool{}
+	for _, f := range reflect.VisibleFields(reflect.TypeFor[submission]()) {
+		names[f.Tag.Get("json")] = true
+	}
+	return names
+}()
+
 func (in *submission) spec() (*JobSpec, error) {
 	for _, f := range []struct {
 		name    string
