A null among the allowed machine types is refused; table tests of bad submissions

The decoder reads a null in Frames as a type of no name, and the job was accepted with the others. It is a field of the wrong type: 400.

Found by TestInvalidFields, which fails without it. The other tables found no fault: missing fields, bodies that are no object, malformed ids, outages.

--- a/internal/api/badinput_test.go
+++ b/internal/api/badinput_test.go
@@ -5,6 +5,65 @@
 	"testing"
 )
 
+// raw is a submission one of whose fields is written as given.
+func raw(id, field, literal string) string {
+	change := map[string]any{"NameId": id}
+	change[field] = "@@"
+	return strings.Replace(body(change), `"@@"`, literal, 1)
+}
+
+// A submission with a field that is missing or invalid gets 400 and reaches
+// nobody; but the repeat of a known job gets its state whatever else it holds.
+func TestInvalidFields(t *testing.T) {
+	text := []string{"null", "5", "true", "[]", "{}", `["x"]`, `""`}
+	amount := []string{"null", `"1.0"`, `""`, "true", "[]", "{}", "[1.0]", "-1", "-0.001", "-1e400", "1e400", "1e10", `"NaN"`, `"Infinity"`}
+	flag := []string{"null", "0", "1", `"true"`, `""`, "[]", "{}"}
+	for field, literals := range map[string][]string{
+		"Jobclass": text, "Owner": text, "Rootstock": text,
+		"Shape":      append([]string{`"Array"`, `"ring"`}, text...),
+		"Precedence": append([]string{`"Prod"`, `"soon"`, `"urgent "`, "0"}, text...),
+		"Shoots": {"null", `"16"`, `""`, "true", "[]", "{}", "0", "-0", "-1", "1.5", "16.0", "1e2", "100001", "1e400", "18446744073709551615",
+			"18446744073709551616", "-18446744073709551617"},
+		"Cores": amount, "Cards": amount, "MemoryGb": amount, "PullGb": amount, "ExpectS": amount, "GraftS": amount, "PressS": amount,
+		"DueS":      append([]string{"0", "0.0"}, amount[1:]...),
+		"Frames":    {`"g8"`, "5", "true", "{}", "[5]", `["g8",5]`, `[["g8"]]`, `["g8",null]`, "[null]"},
+		"Bed":       {"5", "true", "[]", "{}", `["a"]`, `""`},
+		"SamePlace": flag, "Scatter": flag, "Windfall": flag,
+	} {
+		for _, literal := range literals {
+			s := &stub{}
+			if w := call(t, s, "POST", "/api/jobs", raw("job-000412", field, literal)); w.Code != 400 || len(s.submitted) > 0 {
+				t.Errorf("%s: %s: %d (%s), %d accepted", field, literal, w.Code, w.Body, len(s.submitted))
+			}
+			if w := call(t, s, "POST", "/api/jobs", raw("job-000007", field, literal)); w.Code != 200 ||
+				w.Body.String() != `{"NameId":"job-000007","Phase":"done","done":3,"running":0}` {
+				t.Errorf("%s: %s, of a known job: %d (%s)", field, literal, w.Code, w.Body)
+			}
+			if w := call(t, &stub{down: true}, "POST", "/api/jobs", raw("job-000412", field, literal)); w.Code != 503 || w.Header().Get("Retry-After") == "" {
+				t.Errorf("%s: %s, of a job that may be known: %d", field, literal, w.Code)
+			}
+		}
+	}
+}
+
+// Only the fields that may be null may be left out.
+func TestMissingFields(t *testing.T) {
+	for _, c := range []struct {
+		want   int
+		fields string
+	}{
+		{201, "Frames Bed DueS"},
+		{400, "NameId Jobclass Owner Shape Precedence Shoots Cores Cards MemoryGb Rootstock PullGb SamePlace Scatter Windfall ExpectS GraftS PressS"},
+	} {
+		for _, field := range strings.Fields(c.fields) {
+			s := &stub{}
+			if w := call(t, s, "POST", "/api/jobs", body(map[string]any{field: "drop"})); w.Code != c.want || (len(s.submitted) > 0) != (c.want == 201) {
+				t.Errorf("%s: %d, want %d", field, w.Code, c.want)
+			}
+		}
+	}
+}
+
 // The names of fields are told apart by case: what only resembles one is an
 // unknown field, which is ignored and neither replaces it nor stands for it.
 func TestNamesOfFieldsAreExact(t *testing.T) {
@@ -60,3 +119,70 @@
 		}
 	}
 }
+
+// A body that is no JSON object of the protocol's size names no job: it gets 400
+// wherever it comes, also when nobody can be asked.
+func TestBodiesThatAreNoObject(t *testing.T) {
+	good := body(nil)
+	for name, b := range map[string]string{
+		"empty": "", "blank": " \n", "text": "job-000412", "form": "NameId=job-000412", "null": "null", "list": "[" + good + "]",
+		"string": `"` + `job-000412"`, "number": "412", "truth": "true", "cut short": good[:len(good)-1], "two": good + good,
+		"more after it": good + "x", "byte order mark": "\ufeff" + good, "comment": "/**/" + good, "comma at the end": good[:len(good)-1] + ",}",
+		"NaN": raw("job-000412", "Cores", "NaN"), "infinite": raw("job-000412", "Cores", "Infinity"), "minus infinite": raw("job-000412", "Cores", "-Infinity"),
+		"hexadecimal": raw("job-000412", "Shoots", "0x10"), "leading zero": raw("job-000412", "Shoots", "016"), "plus": raw("job-000412", "Cores", "+8.0"),
+		"too deep":  strings.Replace(good, "{", `{"X":`+strings.Repeat("[", 20_000)+strings.Repeat("]", 20_000)+",", 1),
+		"too large": good + strings.Repeat(" ", MaxBody-len(good)+1),
+	} {
+		for _, s := range []*stub{{}, {down: true}} {
+			if w := call(t, s, "POST", "/api/jobs", b); w.Code != 400 || len(s.submitted) > 0 {
+				t.Errorf("%s, down %v: %d (%s)", name, s.down, w.Code, w.Body)
+			}
+		}
+	}
+	if w := call(t, &stub{}, "POST", "/api/jobs", good+strings.Repeat(" ", MaxBody-len(good))); w.Code != 201 {
+		t.Errorf("largest: %d", w.Code)
+	}
+}
+
+// An id in another form than the protocol's was accepted by nobody: its
+// submission is malformed, its job is unknown, and nobody needs to be asked.
+func TestMalformedIds(t *testing.T) {
+	for _, id := range []string{"", "job", "job-", "job-x", "job--1", "job-+1", "job-1.5", "job-1 ", " job-1", "job-1\n", "Job-1", "JOB-1", "job_1",
+		"job-1/2", "job-1/../job-2", "xjob-1", "job-1x", "job-\u0661", "job-" + strings.Repeat("1", 21), "!cancel"} {
+		s := &stub{}
+		if w := call(t, s, "POST", "/api/jobs", body(map[string]any{"NameId": id})); w.Code != 400 || len(s.submitted) > 0 {
+			t.Errorf("submission of %q: %d", id, w.Code)
+		}
+		if id == "" || strings.Contains(id, "/..") {
+			continue // another path
+		}
+		path := "/api/jobs/" + strings.NewReplacer(" ", "%20", "\n", "%0A", "/", "%2F").Replace(id)
+		for _, b := range []*stub{{}, {down: true}} {
+			if w := call(t, b, "GET", path, ""); w.Code != 404 {
+				t.Errorf("poll of %q: %d", id, w.Code)
+			}
+			if w := call(t, b, "POST", path+"/abort", ""); w.Code != 404 {
+				t.Errorf("cancel of %q: %d", id, w.Code)
+			}
+		}
+	}
+	for _, literal := range []string{"5", "null", "true", "[]", "{}", `["job-000412"]`} {
+		s := &stub{}
+		if w := call(t, s, "POST", "/api/jobs", raw("", "NameId", literal)); w.Code != 400 || len(s.submitted) > 0 {
+			t.Errorf("submission of %s: %d", literal, w.Code)
+		}
+	}
+}
+
+// In an outage nothing is final: neither that a job is unknown nor that it
+// can be cancelled.
+func TestOutageIsTold(t *testing.T) {
+	for _, c := range []struct{ method, path, body string }{
+		{"POST", "/api/jobs", body(nil)}, {"POST", "/api/jobs", body(map[string]any{"Owner": "nobody"})},
+		{"GET", "/api/jobs/job-000412", ""}, {"POST", "/api/jobs/job-000412/abort", ""},
+	} {
+		if w := call(t, &stub{down: true}, c.method, c.path, c.body); w.Code != 503 || w.Header().Get("Retry-After") != "1" {
+			t.Errorf("%s %s: %d, Retry-After %q", c.method, c.path, w.Code, w.Header().Get("Retry-After"))
+		}
+	}
+}
--- a/internal/api/wire.go
+++ b/internal/api/wire.go
@@ -88,26 +88,26 @@
 
 // submission has a pointer for every field whose absence must be noticed.
 type submission struct {
-	ID          *string  `json:"NameId"`
-	Class       *string  `json:"Jobclass"`
-	Team        *string  `json:"Owner"`
-	Shape       *string  `json:"Shape"`
-	Priority    *string  `json:"Precedence"`
-	Tasks       *int     `json:"Shoots"`
-	CPUs        *float64 `json:"Cores"`
-	GPUs        *float64 `json:"Cards"`
-	MemoryGB    *float64 `json:"MemoryGb"`
-	Image       *string  `json:"Rootstock"`
-	ImageGB     *float64 `json:"PullGb"`
-	Types       []string `json:"Frames"`
-	Zone        *string  `json:"Bed"`
-	OneZone     *bool    `json:"SamePlace"`
-	Spread      *bool    `json:"Scatter"`
-	Spot        *bool    `json:"Windfall"`
-	EstimateS   *float64 `json:"ExpectS"`
-	CheckpointS *float64 `json:"GraftS"`
-	SaveS       *float64 `json:"PressS"`
-	DeadlineS   *float64 `json:"DueS"`
+	ID          *string   `json:"NameId"`
+	Class       *string   `json:"Jobclass"`
+	Team        *string   `json:"Owner"`
+	Shape       *string   `json:"Shape"`
+	Priority    *string   `json:"Precedence"`
+	Tasks       *int      `json:"Shoots"`
+	CPUs        *float64  `json:"Cores"`
+	GPUs        *float64  `json:"Cards"`
+	MemoryGB    *float64  `json:"MemoryGb"`
+	Image       *string   `json:"Rootstock"`
+	ImageGB     *float64  `json:"PullGb"`
+	Types       []*string `json:"Frames"`
+	Zone        *string   `json:"Bed"`
+	OneZone     *bool     `json:"SamePlace"`
+	Spread      *bool     `json:"Scatter"`
+	Spot        *bool     `json:"Windfall"`
+	EstimateS   *float64  `json:"ExpectS"`
+	CheckpointS *float64  `json:"GraftS"`
+	SaveS       *float64  `json:"PressS"`
+	DeadlineS   *float64  `json:"DueS"`
 }
 
 var idForm = regexp.MustCompile(`^job-[0-9]{1,20}$`)
@@ -177,10 +177,20 @@
 	s := &JobSpec{
 		ID: *in.ID, Class: *in.Class, Team: *in.Team, Shape: *in.Shape, Priority: *in.Priority,
 		Tasks: *in.Tasks, CPUs: *in.CPUs, GPUs: *in.GPUs, MemoryGB: *in.MemoryGB,
-		Image: *in.Image, ImageGB: *in.ImageGB, Types: in.Types, OneZone: *in.OneZone,
+		Image: *in.Image, ImageGB: *in.ImageGB, OneZone: *in.OneZone,
 		Spread: *in.Spread, Spot: *in.Spot, EstimateS: *in.EstimateS,
 		CheckpointS: *in.CheckpointS, SaveS: *in.SaveS,
 	}
+	if in.Types != nil {
+		s.Types = make([]string, len(in.Types)) // no type is not any type
+	}
+	for i, typ := range in.Types {
+		if typ == nil {
+			// The decoder would make it a type of no name.
+			return nil, errors.New("field Frames holds null")
+		}
+		s.Types[i] = *typ
+	}
 	if in.Zone != nil {
 		s.Zone = *in.Zone
 		if s.Zone == "" {
