--- a/internal/api/badinput_test.go
+++ b/internal/api/badinput_test.go
@@ -151,9 +151,10 @@
 func TestMalformedIds(t *testing.T) {
 	for _, id := range []string{"", "job", "job-", "job-x", "job--1", "job-+1", "job-1.5", "job-1 ", " job-1", "job-1\n", "Job-1", "JOB-1", "job_1",
 		"job-1/2", "job-1/../job-2", "xjob-1", "job-1x", "job-\u0661", "job-" + strings.Repeat("1", 21), "!cancel"} {
-		s := &stub{}
-		if w := call(t, s, "POST", "/api/jobs", body(map[string]any{"NameId": id})); w.Code != 400 || len(s.submitted) > 0 {
-			t.Errorf("submission of %q: %d", id, w.Code)
+		for _, s := range []*stub{{}, {down: true}} {
+			if w := call(t, s, "POST", "/api/jobs", body(map[string]any{"NameId": id})); w.Code != 400 || len(s.submitted) > 0 {
+				t.Errorf("submission of %q: %d", id, w.Code)
+			}
 		}
 		if id == "" || strings.Contains(id, "/..") {
 			continue // another path
--- a/internal/api/wire.go
+++ b/internal/api/wire.go
@@ -123,9 +123,6 @@
 	if err := json.Unmarshal(body, &fields); err != nil {
 		return nil, "", fmt.Errorf("not a valid job: %w", err)
 	}
-	if fields == nil {
-		return nil, "", errors.New("not an object")
-	}
 	// The decoder would take a field whose name differs in case only for the
 	// one that it resembles; by the protocol it is an unknown one. What comes
 	// twice is here once.
