Tests: bad submissions and cancels at a leader, a follower, in a takeover and in an outage

Through the handlers at a whole node over the scripted store: each gets the status of the protocol, and nothing that is stored changes. Pairs of SamePlace and Scatter bound a job at each moment, so none makes it one that can never run: those tests see it run to its end within the bound.

No fault found.

--- /dev/null
+++ b/internal/controller/badinput_test.go
@@ -0,0 +1,373 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"maps"
+	"math"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/store"
+	"example.org/ivytrestle/internal/store/storetest"
+)
+
+// ask sends a node a user's request.
+func ask(n *node, method, path, body string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	api.Handler(n.Controller, slog.New(slog.DiscardHandler)).ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+	return w
+}
+
+// job is the body of a submission, changed. A field that is changed to "@..." is
+// written as what follows.
+func (w *world) job(id string, change map[string]any) string {
+	m := map[string]any{"NameId": id, "Jobclass": "c", "Owner": "red", "Shape": "array", "Precedence": "low", "Shoots": 5,
+		"Cores": 1.0, "Cards": 0.0, "MemoryGb": 1.0, "Rootstock": "img", "PullGb": 1.0, "Frames": nil, "Bed": nil,
+		"SamePlace": false, "Scatter": false, "Windfall": true, "ExpectS": 30.0, "GraftS": 0.0, "PressS": 0.0, "DueS": nil}
+	maps.Copy(m, change)
+	for field, v := range m {
+		if s, ok := v.(string); ok && strings.HasPrefix(s, "@") {
+			m[field] = json.RawMessage(s[1:])
+		}
+	}
+	raw, err := json.Marshal(m)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return string(raw)
+}
+
+// stored is what the store holds of jobs, with the marks, so that nothing that
+// is written again goes unseen.
+func (w *world) stored() map[string]uint64 {
+	marks := map[string]uint64{}
+	for _, prefix := range []string{store.ActivePrefix, store.FinalPrefix, store.ProgressPrefix} {
+		p, _ := w.store.Range(context.Background(), prefix, "", 1<<20) // in an outage as well
+		for _, e := range p.Rows {
+			marks[e.Key] = e.Mark
+		}
+	}
+	return marks
+}
+
+// stalled is a store in which a new leader never comes to the end of its reading.
+type stalled struct{ *storetest.Fake }
+
+func (stalled) Range(ctx context.Context, _, _ string, _ int) (store.Page, error) {
+	<-ctx.Done()
+	return store.Page{}, store.ErrUnknown
+}
+
+// history makes job-1 done, job-2 cancelled and job-3 wait.
+func (w *world) history(n *node) {
+	w.t.Helper()
+	k := w.worker("i-1", "a", false)
+	w.submit(n, spec("job-1", 1))
+	k.serve(n, 3)
+	k.exit(api.CauseDone)
+	k.serve(n, 3)
+	w.submit(n, spec("job-2", 1))
+	if _, err := n.Abort(context.Background(), "job-2"); err != nil {
+		w.t.Fatal(err)
+	}
+	w.submit(n, spec("job-3", 1))
+	time.Sleep(time.Second)
+	w.same("history", []string{w.phase(n, "job-1"), w.phase(n, "job-2"), w.phase(n, "job-3")}, []string{"done", "withdrawn", "pending"})
+}
+
+// places are how a node can stand when a request comes.
+var places = []struct {
+	name string
+	// untyped is set if the node does not know the machine types, down in
+	// an outage of the state service.
+	untyped, down bool
+	make          func(w *world) *node
+}{
+	{"leader", false, false, func(w *world) *node {
+		n := w.start("n0")
+		w.history(n)
+		return n
+	}},
+	{"follower", false, false, func(w *world) *node {
+		_, a, b, _, _ := w.pair()
+		w.history(a)
+		b.look(func(c *Controller) { w.same("follows", c.reign == nil && c.leader == "n0", true) })
+		return b
+	}},
+	{"taking over", false, false, func(w *world) *node {
+		a := w.start("n0")
+		w.history(a)
+		a.crash()
+		b := w.startWith("n0", stalled{w.store}, nil)
+		b.look(func(c *Controller) { w.same("takes over", c.reign != nil && !c.reign.loaded, true) })
+		return b
+	}},
+	{"without machine types", true, false, func(w *world) *node {
+		n := w.start("n0")
+		w.history(n)
+		n.types.p.Store(nil)
+		return n
+	}},
+	{"outage", false, true, func(w *world) *node {
+		n := w.start("n0")
+		w.history(n)
+		w.store.SetDown(true)
+		return n
+	}},
+}
+
+// manyTypes adds machine types of which each has something that the others lack.
+func (w *world) manyTypes() {
+	w.cloud.types = append(w.cloud.types,
+		api.MachineType{Name: "wide", CPUs: 8, MemoryGB: 16, Price: 2, SpotPrice: 1, BootS: 20, Zones: []string{"a"}},
+		api.MachineType{Name: "cards", CPUs: 2, GPUs: 2, MemoryGB: 8, Price: 4, SpotPrice: 2, BootS: 20, Zones: []string{"b"}},
+		api.MachineType{Name: "gone", CPUs: 64, GPUs: 64, MemoryGB: 512, Price: 4, SpotPrice: 2, BootS: 20})
+	w.teams[0].GPUs, w.teams[0].GPUsMax = 4, 4
+	w.teams[1].CPUs, w.teams[1].CPUsMax = 6, 6
+}
+
+type change = map[string]any
+
+// Submissions that are invalid or can never run, and repeats of known jobs: what
+// each is answered wherever it comes, and that none changes what is stored. No
+// node may refuse for good what it cannot tell, and none may accept what cannot run.
+func TestBadSubmissions(t *testing.T) {
+	for _, place := range places {
+		t.Run(place.name, func(t *testing.T) {
+			play(t, func(w *world) {
+				w.manyTypes()
+				n := place.make(w)
+				before := w.stored()
+				check := func(name, body string, want int, phase string) {
+					t.Helper()
+					got := ask(n, "POST", "/api/jobs", body)
+					var st api.JobState
+					if err := json.Unmarshal(got.Body.Bytes(), &st); err != nil {
+						t.Errorf("%s: %v", name, err)
+					}
+					if got.Code != want || st.Phase != phase {
+						t.Errorf("%s: %d %q, want %d %q (%s)", name, got.Code, st.Phase, want, phase, got.Body)
+					}
+					if (got.Header().Get("Retry-After") != "") != (want == 503) {
+						t.Errorf("%s: %d, Retry-After %q", name, got.Code, got.Header().Get("Retry-After"))
+					}
+				}
+				for _, c := range []struct {
+					name   string
+					change change
+					want   int
+				}{
+					{"no tasks", change{"Shoots": 0}, 400},
+					{"too many tasks", change{"Shoots": 100_001}, 400},
+					{"part of a task", change{"Shoots": 1.5}, 400},
+					{"fewer than no tasks", change{"Shoots": -5}, 400},
+					{"more tasks than a number holds", change{"Shoots": "@18446744073709551616"}, 400},
+					{"amount below 0", change{"Cores": -1}, 400},
+					{"amount that is no number", change{"MemoryGb": "NaN"}, 400},
+					{"amount beyond numbers", change{"Cores": "@1e400"}, 400},
+					{"time beyond numbers", change{"DueS": "@1e400"}, 400},
+					{"field null", change{"Owner": nil}, 400},
+					{"field of another type", change{"Windfall": "yes"}, 400},
+					{"types that are no list", change{"Frames": "small"}, 400},
+					{"type null", change{"Frames": []any{"small", nil}}, 400},
+					{"zone of no name", change{"Bed": ""}, 400},
+					{"another shape", change{"Shape": "ring"}, 400},
+					{"another priority", change{"Precedence": "Low"}, 400},
+
+					{"unknown team", change{"Owner": "green"}, 422},
+					{"team of another case", change{"Owner": "Red"}, 422},
+					{"CPUs above the limit", change{"Owner": "blue", "Cores": 6.5}, 422},
+					{"CPUs above any", change{"Cores": "@1e300"}, 422},
+					{"GPUs above the limit", change{"Cards": 4.5}, 422},
+					{"GPUs of a team that has none", change{"Owner": "blue", "Cards": 1}, 422},
+					{"CPUs above any type", change{"Cores": 8.5}, 422},
+					{"GPUs above any type", change{"Cards": 3}, 422},
+					{"memory above any type", change{"MemoryGb": 16.5}, 422},
+					{"CPUs of one type, GPUs of another", change{"Cores": 3, "Cards": 1}, 422},
+					{"memory of one type, GPUs of another", change{"MemoryGb": 12, "Cards": 1}, 422},
+					{"no type allowed", change{"Frames": []any{}}, 422},
+					{"unknown types", change{"Frames": []any{"tiny", "Small", ""}}, 422},
+					{"allowed types too small", change{"Frames": []any{"small", "cards"}, "Cores": 5}, 422},
+					{"type of no zone", change{"Frames": []any{"gone"}}, 422},
+					{"unknown zone", change{"Bed": "z"}, 422},
+					{"zone of another case", change{"Bed": "A"}, 422},
+					{"type not in the zone", change{"Frames": []any{"wide"}, "Bed": "b"}, 422},
+					{"fits in the other zone", change{"Cores": 8, "Bed": "b"}, 422},
+					{"GPUs in the other zone", change{"Cards": 1, "Bed": "a"}, 422},
+					{"one zone, in which no type is", change{"Frames": []any{"wide"}, "Bed": "b", "SamePlace": true}, 422},
+					{"spread, in which no type is", change{"Frames": []any{"cards"}, "Bed": "a", "Scatter": true}, 422},
+					{"both, in which no type is", change{"Cores": 8, "Bed": "b", "SamePlace": true, "Scatter": true}, 422},
+				} {
+					want, again := c.want, 200
+					switch {
+					case place.down:
+						want, again = 503, 503 // it may be known
+					case place.untyped && c.want == 422:
+						want, again = 503, 503 // what cannot run is not known
+					}
+					check(c.name, w.job("job-9", c.change), want, "")
+					for id, phase := range map[string]string{"job-1": "done", "job-2": "withdrawn", "job-3": "pending"} {
+						if again != 200 {
+							phase = ""
+						}
+						check(c.name+", "+id, w.job(id, c.change), again, phase)
+					}
+				}
+				for name, body := range map[string]string{
+					"nothing": "", "no JSON": "{", "null": "null", "list": "[" + w.job("job-1", nil) + "]", "no id": w.job("", change{"NameId": nil}),
+					"id of another form": w.job("job-1/0", nil), "two": w.job("job-1", nil) + w.job("job-1", nil),
+					"too large": w.job("job-1", nil) + strings.Repeat(" ", api.MaxBody),
+				} {
+					check(name, body, 400, "")
+				}
+				// A known job repeated with another body that could run keeps its own.
+				for id, phase := range map[string]string{"job-1": "done", "job-2": "withdrawn", "job-3": "pending"} {
+					want := 200
+					if place.untyped || place.down {
+						want, phase = 503, ""
+					}
+					check("repeat of "+id, w.job(id, change{"Shoots": 7, "Owner": "blue"}), want, phase)
+				}
+				w.same("stored", w.stored(), before)
+
+				// What is refused was not the submission at large: a good one is taken.
+				want, phase := 201, "pending"
+				if place.untyped || place.down {
+					want, phase = 503, ""
+				}
+				check("good", w.job("job-9", nil), want, phase)
+				_, taken := w.stored()["a/job-9"]
+				w.same("good one stored", taken, want == 201)
+			})
+		})
+	}
+}
+
+// Cancelling and asking about jobs that are over, unknown or malformed, wherever
+// it comes.
+func TestBadCancels(t *testing.T) {
+	for _, place := range places {
+		t.Run(place.name, func(t *testing.T) {
+			play(t, func(w *world) {
+				n := place.make(w)
+				before := w.stored()
+				for _, c := range []struct {
+					id    string
+					want  int
+					phase string
+				}{
+					{"job-1", 200, "done"}, {"job-2", 200, "withdrawn"}, {"job-9", 404, ""}, {"job-x", 404, ""}, {"!cancel", 404, ""}, {"job-1%2F0", 404, ""},
+				} {
+					want, phase := c.want, c.phase
+					if place.down && api.ValidID(c.id) {
+						want, phase = 503, ""
+					}
+					for range 2 {
+						got := ask(n, "POST", "/api/jobs/"+c.id+"/abort", "")
+						var st api.JobState
+						if err := json.Unmarshal(got.Body.Bytes(), &st); err != nil {
+							t.Error(err)
+						}
+						if got.Code != want || st.Phase != phase || (got.Header().Get("Retry-After") != "") != (want == 503) {
+							t.Errorf("cancel of %s: %d %q, want %d %q", c.id, got.Code, st.Phase, want, phase)
+						}
+					}
+					// What is over may be told from memory, also in an outage.
+					got := ask(n, "GET", "/api/jobs/"+c.id, "")
+					if ok := got.Code == c.want || place.down && got.Code == 503 && api.ValidID(c.id); !ok ||
+						got.Code == 200 && !strings.Contains(got.Body.String(), `"Phase":"`+c.phase+`"`) {
+						t.Errorf("poll of %s: %d (%s), want %d %q", c.id, got.Code, got.Body, c.want, c.phase)
+					}
+				}
+				w.same("stored", w.stored(), before)
+				// A job that is cancelled before it is submitted is not cancelled.
+				if place.down || place.untyped {
+					return
+				}
+				got := ask(n, "POST", "/api/jobs", w.job("job-9", nil))
+				w.same("submitted later", got.Code, 201)
+			})
+		})
+	}
+}
+
+// Amounts that JSON cannot hold fit nothing.
+func TestSubmitOfNoNumbers(t *testing.T) {
+	play(t, func(w *world) {
+		w.manyTypes()
+		n := w.start("n0")
+		for _, v := range []float64{math.NaN(), math.Inf(1)} {
+			for name, set := range map[string]func(*api.JobSpec){
+				"CPUs": func(s *api.JobSpec) { s.CPUs = v }, "GPUs": func(s *api.JobSpec) { s.GPUs = v }, "memory": func(s *api.JobSpec) { s.MemoryGB = v },
+			} {
+				s := spec("job-1", 1)
+				set(s)
+				_, _, err := n.Submit(context.Background(), s)
+				if _, never := err.(*api.NeverRunsError); !never {
+					t.Errorf("%v %s: %v", v, name, err)
+				}
+			}
+		}
+		w.same("stored", len(w.stored()), 0)
+	})
+}
+
+// Tasks in one zone of which at most half may be in one zone: that is a bound
+// at each moment, so the job runs part by part. No such pair of flags makes a
+// job one that can never run, and each that is accepted must run to its end.
+func TestOneZoneOfWhichHalfMayBeThere(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change change
+		tasks  int
+		most   int // at a time in one zone
+		zones  int // at a time
+	}{
+		{"one zone and spread", change{"SamePlace": true, "Scatter": true}, 5, 3, 1},
+		{"one zone and spread, one task", change{"SamePlace": true, "Scatter": true}, 1, 1, 1},
+		{"one zone and spread, two tasks", change{"SamePlace": true, "Scatter": true}, 2, 1, 1},
+		{"spread in the only zone allowed", change{"Scatter": true, "Bed": "b"}, 5, 3, 1},
+		{"spread in the only zone of the type", change{"Scatter": true, "Frames": []any{"cards"}}, 4, 2, 1},
+		{"all of it", change{"SamePlace": true, "Scatter": true, "Bed": "b", "Frames": []any{"cards", "small"}}, 3, 2, 1},
+		{"spread", change{"Scatter": true}, 6, 3, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			play(t, func(w *world) {
+				w.manyTypes()
+				n := w.start("n0")
+				workers := []*worker{w.worker("i-1", "a", false), w.worker("i-2", "b", false), w.worker("i-3", "b", false)}
+				workers[2].rep.Type = "cards"
+				for _, k := range workers {
+					k.serve(n, 2)
+				}
+				c.change["Shoots"] = c.tasks
+				got := ask(n, "POST", "/api/jobs", w.job("job-1", c.change))
+				w.same("accepted", got.Code, 201)
+				for range 60 {
+					ran := map[string]int{}
+					for _, k := range workers {
+						k.report(n)
+						if r := len(k.running()); r > 0 {
+							ran[k.rep.Zone] += r
+						}
+					}
+					for zone, r := range ran {
+						if r > c.most || len(ran) > c.zones {
+							t.Errorf("%d tasks in zone %s of %v", r, zone, ran)
+						}
+					}
+					time.Sleep(time.Second)
+					for _, k := range workers {
+						k.exit(api.CauseDone)
+					}
+				}
+				w.same("phase", w.phase(n, "job-1"), "done")
+			})
+		})
+	}
+}
