Stops go before reaps in an answer

Reaps, stops and starts share the 200 orders of an answer, and reaps came first: a machine with that many ended tasks in its reports went on with what was cancelled while the same answers renewed its lease, for as long as more tasks ended there than one answer reaps.

--- /dev/null
+++ b/internal/controller/reaps_test.go
@@ -0,0 +1,38 @@
+package controller
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+)
+
+// A machine with more ended tasks than an answer holds orders must still be told
+// at once to stop what is cancelled: its lease is renewed by the same answers.
+// The ended tasks are reaped after that.
+func TestStopsGoBeforeReaps(t *testing.T) {
+	play(t, func(w *world) {
+		n := w.start("n0")
+		k := w.worker("i-1", "a", false)
+		w.submit(n, spec("job-1", 1))
+		k.serve(n, 3)
+		w.same("running", k.running(), []string{"job-1/0"})
+		// Starts that nobody can serve end at once; such tasks stay in the reports
+		// until they are reaped.
+		for i := range 3 * maxOrders {
+			k.rep.Tasks = append(k.rep.Tasks, api.TaskReport{Task: "job-2/" + string(rune('0'+i%10)), Attempt: uint64(1000 + i),
+				Phase: api.TaskExited, Cause: api.CauseNoSuch})
+		}
+		if _, err := n.Abort(context.Background(), "job-1"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		orders := k.report(n)
+		w.same("orders of one answer", len(orders), maxOrders)
+		w.same("first order", orders[0].Verb+" "+orders[0].Task, "stop job-1/0")
+		w.same("stopped", len(k.running()), 0)
+		k.serve(n, 4)
+		w.same("reaped", len(k.rep.Tasks), 0)
+	})
+}
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -177,6 +177,9 @@
 
 // reconcile brings the machine's attempts in line with its report.
 func (r *reign) reconcile(m *machine, rep *api.Report, from origin, orders []api.Order, now time.Time) []api.Order {
+	// Stops go before reaps: a machine that has ended more tasks than an answer
+	// holds orders would run what is cancelled on, while its lease is renewed.
+	var reaps []api.Order
 	for i := range rep.Tasks {
 		t := &rep.Tasks[i]
 		key := attemptKey{t.Task, t.Attempt}
@@ -186,8 +189,8 @@
 		}
 		a.seen = m.reports
 		r.update(a, t, now)
-		if a.exited && r.reapable(a) && len(orders) < maxOrders {
-			orders = append(orders, api.Order{Verb: api.VerbReap, Task: t.Task, Attempt: t.Attempt})
+		if a.exited && r.reapable(a) && len(reaps) < maxOrders {
+			reaps = append(reaps, api.Order{Verb: api.VerbReap, Task: t.Task, Attempt: t.Attempt})
 		}
 	}
 	if from == ownReport {
@@ -217,7 +220,7 @@
 			orders = append(orders, api.Order{Verb: api.VerbStop, Task: key.ref, Attempt: key.id, GraceS: &grace})
 		}
 	}
-	return orders
+	return append(orders, reaps[:min(len(reaps), maxOrders-len(orders))]...)
 }
 
 // hasImage notes that a machine has a job's image.
