A report of nested objects does not grow its reader's stack

The fast decoder follows nesting to any depth. Reports full of arrays were passed on to the standard library's; those full of objects were not, and one report of 256 KiB grew the stack by 16 MiB (as a trial in a test).

--- a/internal/api/report_test.go
+++ b/internal/api/report_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"reflect"
+	"runtime"
 	"strings"
 	"testing"
 )
@@ -19,6 +20,9 @@
 		`{"Host":"i-1","Tally":18446744073709551616}`, `{"Host":"i-1","Shoots":{}}`, `{"Host":"i-1","Shoots":[5]}`,
 		`{"Host":"i-1","Z":nul}`, `{"Host":"i-1","Z":"` + "\n" + `"}`, `{"Host":"i-1","Z":` + strings.Repeat("[", 60_000) + `}`,
 		`{"Host":"i-1","Z":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`,
+		`{"Host":"i-1","Z":` + strings.Repeat(`{"a":`, 20_000) + "1" + strings.Repeat("}", 20_000) + `}`,
+		`{"Host":"i-1","Z":` + strings.Repeat(`{"a":`, 5_000) + "1" + strings.Repeat("}", 5_000) + `}`,
+		`{"Host":"i-1","Shoots":[` + strings.Repeat(`{"Shoot":"job-1/3","Sprout":2,"Phase":"running"},`, 3_000) + `{}]}`,
 	} {
 		var want Report
 		wantErr := json.Unmarshal([]byte(body), &want) != nil || want.Machine == ""
@@ -29,6 +33,29 @@
 	}
 }
 
+// A report full of brackets of either kind must not have the stack of its reader
+// grow by many times its size: 16 MiB for one report was seen.
+func TestNestedReportsTakeNoStack(t *testing.T) {
+	for _, open := range []string{"[", `{"a":`, `[{"a":`, `{"a": `} {
+		for _, depth := range []int{2 * manyObjects, 4 * MaxBody / len(open)} {
+			body := []byte(`{"Host":"i-1","Z":` + strings.Repeat(open, depth))
+			grew := make(chan uint64)
+			go func() { // a stack of its own, that has yet to grow
+				var before, after runtime.MemStats
+				runtime.ReadMemStats(&before)
+				if _, err := ParseReport(body); err == nil {
+					t.Errorf("%d times %q was read", depth, open)
+				}
+				runtime.ReadMemStats(&after)
+				grew <- after.StackInuse - min(before.StackInuse, after.StackInuse)
+			}()
+			if n := <-grew; n > 1<<20 {
+				t.Errorf("%d times %q: the stack grew by %d KiB", depth, open, n>>10)
+			}
+		}
+	}
+}
+
 // A report's phases outlive it in the leader's memory, so they must not hold its
 // whole body there.
 func TestPhasesShareNoMemoryWithTheReport(t *testing.T) {
--- a/internal/api/wire.go
+++ b/internal/api/wire.go
@@ -287,17 +287,21 @@
 	Saved   bool   `json:"Kept"`
 }
 
-// manyArrays is how many arrays a report may open and still be read by the fast
-// decoder, which follows nesting to any depth: a report full of brackets would
-// have its stack grow past the memory of the smallest controllers.
-const manyArrays = 256
+// manyArrays and manyObjects are how many of these a report may open and still be
+// read by the fast decoder, which follows nesting to any depth: a report full of
+// brackets would have its stack grow past the memory of the smallest controllers.
+// Each task is an object of fifty bytes or more, and MaxBody has room for fewer.
+const (
+	manyArrays  = 256
+	manyObjects = 2048
+)
 
 // ParseReport reads a report. Its strings share the memory of body, which must
 // not be changed afterwards; what is kept for long is to be cloned.
 func ParseReport(body []byte) (*Report, error) {
 	var rep Report
 	var err error
-	if bytes.Count(body, []byte("[")) > manyArrays {
+	if bytes.Count(body, []byte("[")) > manyArrays || bytes.Count(body, []byte("{")) > manyObjects {
 		err = json.Unmarshal(body, &rep)
 	} else {
 		// Reports are most of what a leader reads, and this decoder takes a
