--- a/internal/controller/history_test.go
+++ b/internal/controller/history_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/store"
 )
 
 // history is what the machines of a test really ran, seen from outside. It fails
@@ -24,7 +25,8 @@
 	runs   map[run]bool
 	hosts  map[string]*host
 	broken int
-	calm   bool // all troubles are over
+	again  []string // tasks begun after they had completed
+	calm   bool     // all troubles are over
 }
 
 // run is an attempt at a task that is on a machine.
@@ -45,6 +47,8 @@
 	withdrawn time.Time
 	asked     time.Time
 	finished  bool
+	// apart is how much longer each task runs than the one before it.
+	apart time.Duration
 	// begun and done count starts and completions by task.
 	begun, done map[string]int
 	// waits is for how long a task has waited beside a machine with room.
@@ -112,7 +116,9 @@
 		s.OneZone && elsewhere > 0, s.Spread && here+1 > (s.Tasks+1)/2:
 		h.fail("%s starts on %s in zone %s (%d of the job there, %d elsewhere)", task, r.machine, k.rep.Zone, here, elsewhere)
 	}
-	p.begun[task]++
+	if p.begun[task]++; p.done[task] > 0 {
+		h.again = append(h.again, task)
+	}
 	h.runs[r] = true
 }
 
@@ -221,7 +227,7 @@
 	return tasks
 }
 
-// begunTwice lists the tasks that were started again after they were done.
+// begunTwice lists the tasks that have begun more than once.
 func (h *history) begunTwice() (tasks []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -236,6 +242,13 @@
 	return tasks
 }
 
+// begunWhenDone lists the tasks that began again after they had completed.
+func (h *history) begunWhenDone() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.again
+}
+
 // host is a machine that behaves as the protocol's worker does, by itself.
 type host struct {
 	*worker
@@ -266,10 +279,19 @@
 	links *links
 	names []string
 	up    map[string]*node
-	gates map[string]*gate
+	gates map[string]*slowGate
 	hosts []*host
 }
 
+// slowGate is a way to the store over which a page takes a while.
+type slowGate struct{ *gate }
+
+func (g *slowGate) Range(ctx context.Context, prefix, from string, most int) (store.Page, error) {
+	page, err := g.gate.Range(ctx, prefix, from, most)
+	pause(ctx, 150*time.Millisecond)
+	return page, err
+}
+
 // playStage plays a meeting with two controllers; the first leads.
 func playStage(t *testing.T, machines int, f func(s *stage)) {
 	t.Helper()
@@ -290,7 +312,7 @@
 func newStage(t *testing.T, machines int, reportS float64, f func(s *stage)) {
 	w := newWorld(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &stage{world: w, ctx: ctx, links: &links{}, names: []string{"n0", "n1"}, up: map[string]*node{}, gates: map[string]*gate{}}
+	s := &stage{world: w, ctx: ctx, links: &links{}, names: []string{"n0", "n1"}, up: map[string]*node{}, gates: map[string]*slowGate{}}
 	w.reportS = reportS
 	w.director = s
 	s.h = &history{w: w, t0: time.Now(), jobs: map[string]*past{}, runs: map[run]bool{}, hosts: map[string]*host{}}
@@ -313,7 +335,7 @@
 func (s *stage) begin(name string) {
 	s.smu.Lock()
 	if s.gates[name] == nil {
-		s.gates[name] = &gate{Fake: s.store}
+		s.gates[name] = &slowGate{gate: &gate{Fake: s.store}}
 	}
 	g := s.gates[name]
 	s.smu.Unlock()
@@ -652,7 +674,8 @@
 		t.Phase, t.Cause = api.TaskExited, api.CauseNoRoom
 	default:
 		k.s.h.start(k, r.task, r.attempt)
-		if k.left[r] = p.takes; k.s.h.completed(r.task) {
+		_, i, _ := splitRef(r.task)
+		if k.left[r] = p.takes + time.Duration(i)*p.apart; k.s.h.completed(r.task) {
 			k.left[r] = 0 // its result is kept
 		}
 	}
--- a/internal/controller/machines_test.go
+++ b/internal/controller/machines_test.go
@@ -1,11 +1,15 @@
 package controller
 
 import (
+	"context"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/store"
 )
 
 // job1 is a job of a team that may use all machines.
@@ -104,3 +108,421 @@
 		})
 	})
 }
+
+// New machines are up within two seconds and get work at once while writes lag,
+// and the leader ends. Nothing may start on a machine before its place on the
+// roster is durable: the next leader would not know that it may hold tasks, and
+// would begin them elsewhere.
+func TestNoStartBeforeTheRosterIsDurable(t *testing.T) {
+	for _, play := range []struct {
+		name string
+		with func(*testing.T, int, func(*stage))
+	}{{"answers", playStage}, {"direct", playSeldom}} {
+		for off := 500 * time.Millisecond; off <= 5*time.Second; off += 500 * time.Millisecond {
+			t.Run(fmt.Sprint(play.name, " ", off), func(t *testing.T) {
+				play.with(t, 2, func(s *stage) {
+					s.order(2*time.Minute, job1("job-1", "red", 14))
+					time.Sleep(3 * time.Second)
+					s.store.Hold(touches(store.MachinePrefix))
+					fresh := []*host{s.add("i-8", "a", false), s.add("i-9", "b", false)}
+					time.Sleep(off)
+					for _, k := range fresh {
+						s.same("on "+k.rep.Machine, k.running(), []string(nil))
+						k.trouble(func(k *host) { k.cut = true })
+					}
+					s.restart(0)
+					for _, res := range s.store.Release() {
+						s.same("late record carried out", res.OK, false)
+					}
+					s.add("i-5", "a", false)
+					s.add("i-6", "b", false)
+					time.Sleep(8 * time.Second)
+					for _, k := range fresh {
+						k.well()
+					}
+					s.settle(4 * time.Minute)
+				})
+			})
+		}
+	}
+}
+
+// replay brings copies of a machine's reports to every controller, latest first.
+// Their answers reach nobody.
+func (k *host) replay(reports []api.Report) {
+	for i := range reports {
+		rep := reports[len(reports)-1-i]
+		for _, name := range k.s.names {
+			if n := k.s.node(name); n != nil {
+				own := rep
+				own.Tasks = slices.Clone(rep.Tasks)
+				go func() {
+					ctx, cancel := context.WithTimeout(k.s.ctx, 4*time.Second)
+					defer cancel()
+					n.Report(ctx, &own) // whatever it says, the machine has gone on
+				}()
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// sentSoFar are copies of the reports that a machine has sent.
+func (k *host) sentSoFar() []api.Report {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Clone(k.reports)
+}
+
+// Old reports arrive after newer ones: of an earlier session, of an earlier
+// attempt, from before tasks began and from while they ran, within a term, just
+// as a new leader begins, and after it has acted. They are no news: no task is
+// taken for gone, or for being there, on their account, and no machine for alive.
+func TestOldReportsArriveAfterNewerOnes(t *testing.T) {
+	eachChange(t, -time.Second, 5*time.Second, 500*time.Millisecond, func(t *testing.T, off time.Duration, change func(*stage)) {
+		playStage(t, 4, func(s *stage) {
+			s.order(25*time.Second, job1("job-1", "red", 4))
+			s.order(3*time.Minute, job1("job-2", "red", 4))
+			time.Sleep(3 * time.Second)
+			late := map[*host][]api.Report{}
+			// The first machine's session ends, and its tasks begin anew.
+			first := s.holders("job-2")[0]
+			first.trouble(func(k *host) { k.mute = true })
+			time.Sleep(13 * time.Second)
+			first.well()
+			time.Sleep(3 * time.Second)
+			for _, k := range s.hosts {
+				late[k] = k.sentSoFar()
+			}
+			replay := func() {
+				for k, reports := range late {
+					go k.replay(reports)
+				}
+				time.Sleep(700 * time.Millisecond)
+			}
+			replay()
+			time.Sleep(2 * time.Second)
+			if off < 0 {
+				replay()
+				time.Sleep(-off)
+				change(s)
+			} else {
+				go change(s)
+				time.Sleep(off)
+				replay()
+			}
+			time.Sleep(10 * time.Second)
+			replay()
+			s.cancel("job-2")
+			time.Sleep(5 * time.Second)
+			replay()
+			s.order(5*time.Second, job1("job-3", "red", 12))
+			s.order(5*time.Second, job1("job-4", "blue", 8))
+			time.Sleep(2 * time.Second)
+			replay()
+			s.settle(2 * time.Minute)
+			s.same("begun after completion", s.h.begunWhenDone(), []string(nil))
+		})
+	})
+}
+
+// Jobs of two or three tasks end far apart across a change of leader, while their
+// progress may not be on record yet: what is done stays done, nothing is lost and
+// nothing runs again.
+func TestTasksEndFarApartAcrossAChange(t *testing.T) {
+	for _, lag := range []bool{false, true} {
+		eachChange(t, 0, 5*time.Second, 500*time.Millisecond, func(t *testing.T, off time.Duration, change func(*stage)) {
+			playStage(t, 4, func(s *stage) {
+				for i := range 6 {
+					j := job1(fmt.Sprint("job-", i), []string{"red", "blue"}[i%2], 2+i%2)
+					s.order(4*time.Second+time.Duration(i)*700*time.Millisecond, j)
+					s.h.mu.Lock()
+					s.h.jobs[j.ID].apart = 20 * time.Second
+					s.h.mu.Unlock()
+				}
+				if lag {
+					time.Sleep(2 * time.Second)
+					s.store.Hold(touches(store.ProgressPrefix))
+				}
+				time.Sleep(off)
+				change(s)
+				time.Sleep(time.Second)
+				s.store.Release()
+				s.settle(2 * time.Minute)
+				s.same("begun twice", s.h.begunTwice(), []string(nil))
+			})
+		})
+	}
+}
+
+// Controllers hand over and back, all end and one returns, all are away for
+// longer than a lease, and leaders change ten times in two minutes, also inside
+// an outage. Each script begins at several offsets from the work.
+func TestControllersComeAndGo(t *testing.T) {
+	scripts := map[string]func(s *stage){
+		"over and back": func(s *stage) {
+			for range 4 {
+				s.handOver()
+				time.Sleep(12 * time.Second)
+			}
+		},
+		"all end, one returns at once": func(s *stage) {
+			s.crash("n0")
+			s.crash("n1")
+			s.begin("n1")
+			time.Sleep(35 * time.Second)
+			s.begin("n0")
+		},
+		"all end, the leader returns within a second": func(s *stage) {
+			last := s.leader()
+			s.crash("n0")
+			s.crash("n1")
+			time.Sleep(700 * time.Millisecond)
+			s.begin(last)
+			time.Sleep(10 * time.Second)
+			s.begin(map[string]string{"n0": "n1", "n1": "n0"}[last])
+		},
+		"all away for longer than a lease": func(s *stage) {
+			s.crash("n0")
+			s.crash("n1")
+			time.Sleep(14 * time.Second)
+			s.begin("n1")
+			s.begin("n0")
+		},
+		"ten times": func(s *stage) {
+			for i := range 10 {
+				if i%3 == 2 {
+					s.handOver()
+				} else {
+					s.restart(time.Duration(i%4) * 300 * time.Millisecond)
+				}
+				time.Sleep(11 * time.Second)
+			}
+		},
+		"ten times, inside an outage": func(s *stage) {
+			for i := range 10 {
+				if i == 3 || i == 7 {
+					s.store.SetDown(true)
+				}
+				s.restart(time.Duration(i%4) * 300 * time.Millisecond)
+				time.Sleep(11 * time.Second)
+				if i == 4 || i == 8 {
+					s.store.SetDown(false)
+					time.Sleep(5 * time.Second)
+				}
+			}
+		},
+	}
+	for name, script := range scripts {
+		for off := time.Duration(0); off < 3*time.Second; off += 400 * time.Millisecond {
+			t.Run(fmt.Sprint(name, " ", off), func(t *testing.T) {
+				playStage(t, 7, func(s *stage) {
+					s.order(3*time.Second, job1("job-0", "blue", 30))
+					s.order(90*time.Second, job1("job-1", "red", 10))
+					s.order(15*time.Second, job1("job-2", "red", 20))
+					s.order(4*time.Minute, job1("job-3", "blue", 4))
+					time.Sleep(off)
+					go func() {
+						time.Sleep(4 * time.Second)
+						s.cancel("job-3")
+					}()
+					script(s)
+					s.settle(6 * time.Minute)
+				})
+			})
+		}
+	}
+}
+
+// A leader ends while machines with long tasks can't be reached, don't hear the
+// next leader's answer (deaf), or reach no controller while direct commands reach
+// them (mute). Their tasks begin elsewhere only when they are off these machines,
+// and do begin once the troubles are over.
+func TestLeaderEndsWhileMachinesAreOutOfReach(t *testing.T) {
+	troubles := map[string]func(*host){
+		"cut":  func(k *host) { k.cut = true },
+		"deaf": func(k *host) { k.deaf = true },
+		"mute": func(k *host) { k.mute = true },
+	}
+	for name, trouble := range troubles {
+		for _, long := range []time.Duration{6 * time.Second, 25 * time.Second} {
+			eachChange(t, -2*time.Second, 3*time.Second, time.Second, func(t *testing.T, off time.Duration, change func(*stage)) {
+				t.Run(fmt.Sprint(name, " ", long), func(t *testing.T) {
+					playStage(t, 7, func(s *stage) {
+						s.order(70*time.Second, job1("job-1", "red", 12))
+						s.order(2*time.Minute, job1("job-2", "blue", 8))
+						time.Sleep(4 * time.Second)
+						if off < 0 {
+							change(s)
+							time.Sleep(-off)
+						}
+						for _, k := range s.holders("job-1")[:2] {
+							k.trouble(trouble)
+						}
+						if off >= 0 {
+							time.Sleep(off)
+							change(s)
+						}
+						time.Sleep(time.Second)
+						s.cancel("job-2")
+						s.order(20*time.Second, job1("job-3", "blue", 8))
+						time.Sleep(long)
+						for _, k := range s.hosts {
+							k.well()
+						}
+						s.add("i-8", "a", false)
+						s.add("i-9", "b", false)
+						s.settle(4 * time.Minute)
+					})
+				})
+			})
+		}
+	}
+}
+
+// A direct command or its answer is held up for seconds, or the machine hangs
+// within its lease and then goes on, while its job is cancelled, and perhaps the
+// leader changes. What may still begin counts as begun, and a task that begins late
+// is gone from its machine in the time that a cancellation has.
+func TestDirectCommandsHeldUp(t *testing.T) {
+	troubles := map[string]func(*host){
+		"order":  func(k *host) { k.orderDelay = 9 * time.Second },
+		"short":  func(k *host) { k.orderDelay = 1200 * time.Millisecond },
+		"answer": func(k *host) { k.answerDelay = 6 * time.Second },
+		"hang":   func(k *host) { k.hung = time.Now().Add(12 * time.Second) },
+		"long":   func(k *host) { k.hung = time.Now().Add(24 * time.Second) },
+	}
+	for name, trouble := range troubles {
+		for _, change := range []bool{false, true} {
+			for off := time.Duration(0); off < 4*time.Second; off += 400 * time.Millisecond {
+				t.Run(fmt.Sprint(name, " ", change, " ", off), func(t *testing.T) {
+					playSeldom(t, 5, func(s *stage) {
+						s.order(4*time.Second, job1("job-0", "blue", 2)) // they are known to be well
+						time.Sleep(6 * time.Second)
+						for _, k := range s.hosts[:3] {
+							k.trouble(trouble)
+						}
+						s.order(4*time.Minute, job1("job-1", "red", 12))
+						s.order(30*time.Second, job1("job-2", "blue", 6))
+						time.Sleep(off)
+						s.cancel("job-1")
+						if change {
+							time.Sleep(300 * time.Millisecond)
+							s.restart(300 * time.Millisecond)
+						}
+						s.order(20*time.Second, job1("job-3", "red", 16))
+						time.Sleep(35 * time.Second)
+						for _, k := range s.hosts {
+							k.well()
+						}
+						s.add("i-7", "a", false)
+						s.add("i-8", "b", false)
+						s.settle(4 * time.Minute)
+					})
+				})
+			}
+		}
+	}
+}
+
+// Jobs bound to one zone, arrays too, lose machines, with and without a change of
+// leader: their other tasks at that moment say where the next may start, also
+// those on machines that are not heard.
+func TestJobsBoundToAZoneLoseMachines(t *testing.T) {
+	eachChange(t, 0, 4*time.Second, time.Second, func(t *testing.T, off time.Duration, change func(*stage)) {
+		for lost := range 3 {
+			t.Run(fmt.Sprint(lost, " lost"), func(t *testing.T) {
+				playStage(t, 8, func(s *stage) {
+					one, zone, apart := job1("job-1", "red", 7), job1("job-2", "red", 3), job1("job-3", "blue", 8)
+					one.OneZone, zone.Zone, apart.Spread = true, "b", true
+					for _, j := range []*api.JobSpec{one, zone, apart} {
+						s.order(time.Minute, j)
+						time.Sleep(1500 * time.Millisecond)
+					}
+					in := ""
+					for _, k := range s.holders("job-1") {
+						in = k.rep.Zone
+					}
+					n := 0
+					for _, k := range s.hosts {
+						if k.rep.Zone == in && n <= lost {
+							n++
+							k.trouble(func(k *host) { k.cut = true }) // for good
+						}
+					}
+					time.Sleep(off)
+					change(s)
+					time.Sleep(15 * time.Second)
+					s.add("i-91", "a", false)
+					s.add("i-92", "b", false)
+					s.add("i-93", "a", true)
+					s.settle(5 * time.Minute)
+				})
+			})
+		}
+	})
+}
+
+// After all sorts of troubles no job is left waiting for 90 s while a machine that
+// fits has room and its team is under its limit: what the troubles left uncertain
+// (machines not heard, tasks that may be there) is cleared up in the end.
+func TestNothingWaitsAfterTroubles(t *testing.T) {
+	for seed := range 24 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			with := playStage
+			if seed%3 == 2 {
+				with = playSeldom
+			}
+			with(t, 8, func(s *stage) {
+				rnd := rand.New(rand.NewPCG(uint64(seed), 1))
+				for i := range 30 {
+					j := job1(fmt.Sprint("job-", i), []string{"red", "blue"}[i%2], 1+rnd.IntN(6))
+					switch rnd.IntN(8) {
+					case 0:
+						j.Zone = "a"
+					case 1:
+						j.OneZone = true
+					case 2:
+						j.Spread = true
+					}
+					s.order(time.Duration(5+rnd.IntN(40))*time.Second, j)
+					k := s.hosts[rnd.IntN(len(s.hosts))]
+					switch rnd.IntN(12) {
+					case 0:
+						k.trouble(func(k *host) { k.cut = true })
+					case 1:
+						k.trouble(func(k *host) { k.deaf = true })
+					case 2:
+						k.trouble(func(k *host) { k.mute = true })
+					case 3, 4:
+						k.hang(time.Duration(rnd.IntN(9)) * time.Second)
+					case 5, 6:
+						k.well()
+					case 7:
+						s.handOver()
+					case 8:
+						s.restart(time.Duration(rnd.IntN(2000)) * time.Millisecond)
+					case 9:
+						s.cancel(fmt.Sprint("job-", rnd.IntN(i+1)))
+					case 10:
+						go k.replay(k.sentSoFar())
+					case 11:
+						s.store.Hold(touches(store.MachinePrefix))
+						go func() {
+							pause(s.ctx, 5*time.Second)
+							s.store.Release()
+						}()
+					}
+					time.Sleep(time.Duration(rnd.IntN(3000)) * time.Millisecond)
+				}
+				for _, k := range s.hosts {
+					k.well()
+				}
+				for i := range 4 {
+					s.add(fmt.Sprint("i-9", i), []string{"a", "b"}[i%2], false)
+				}
+				s.settle(8 * time.Minute)
+			})
+		})
+	}
+}
