--- a/internal/controller/history_test.go
+++ b/internal/controller/history_test.go
@@ -397,11 +397,11 @@
 }
 
 // users repeats a request at the controllers, one after the other, until it is
-// answered.
-func (s *stage) users(what string, ask func(ctx context.Context, n *node) error) {
+// answered; first says which comes first.
+func (s *stage) users(what string, first int, ask func(ctx context.Context, n *node) error) {
 	s.t.Helper()
 	err := errors.New("no controller")
-	for try := range 60 {
+	for try := first; try < first+60; try++ {
 		if n := s.node(s.names[try%len(s.names)]); n != nil {
 			ctx, cancel := context.WithTimeout(s.ctx, 5*time.Second)
 			err = ask(ctx, n)
@@ -424,7 +424,7 @@
 	s.h.mu.Lock()
 	s.h.jobs[spec.ID] = &past{spec: spec, takes: takes, begun: map[string]int{}, done: map[string]int{}}
 	s.h.mu.Unlock()
-	s.users("submit "+spec.ID, func(ctx context.Context, n *node) error {
+	s.users("submit "+spec.ID, spec.Tasks, func(ctx context.Context, n *node) error {
 		_, _, err := n.Submit(ctx, spec)
 		return err
 	})
@@ -437,7 +437,7 @@
 		s.h.mu.Lock()
 		s.h.jobs[id].asked = time.Now()
 		s.h.mu.Unlock()
-		go s.users("cancel "+id, func(ctx context.Context, n *node) error {
+		go s.users("cancel "+id, int(id[len(id)-1]), func(ctx context.Context, n *node) error {
 			st, err := n.Abort(ctx, id)
 			if err == nil {
 				s.h.told(id, st.Phase)
--- a/internal/controller/machines_test.go
+++ b/internal/controller/machines_test.go
@@ -29,6 +29,9 @@
 	"late":     func(s *stage) { s.restart(6 * time.Second) },
 }
 
+// plays are the two ways in which starts reach machines.
+var plays = map[string]func(*testing.T, int, func(*stage)){"answers": playStage, "direct": playSeldom}
+
 // eachChange sweeps the moment of a leader change, of each kind.
 func eachChange(t *testing.T, from, to, step time.Duration, f func(t *testing.T, off time.Duration, change func(*stage))) {
 	for kind, change := range leaderChanges {
@@ -43,70 +46,78 @@
 // off them: neither a machine that the new leader has not heard nor one that holds
 // tasks of a job that is over may be left out of the teams' use.
 func TestLimitsWhileMachinesAreCutAndTheLeaderChanges(t *testing.T) {
-	eachChange(t, 0, 5*time.Second, 700*time.Millisecond, func(t *testing.T, off time.Duration, change func(*stage)) {
-		playStage(t, 9, func(s *stage) {
-			for _, j := range []*api.JobSpec{job1("job-1", "red", 8), job1("job-2", "red", 8), job1("job-3", "blue", 4), job1("job-4", "blue", 4)} {
-				s.order(4*time.Minute, j)
-				time.Sleep(2 * time.Second)
-			}
-			for i, id := range []string{"job-1", "job-3"} {
-				for n, k := range s.holders(id) {
-					if (n+i)%2 == 0 {
-						k.trouble(func(k *host) { k.cut = true })
-					} else {
-						k.hang(8 * time.Second)
+	for way, play := range plays {
+		t.Run(way, func(t *testing.T) {
+			eachChange(t, 0, 5*time.Second, 700*time.Millisecond, func(t *testing.T, off time.Duration, change func(*stage)) {
+				play(t, 9, func(s *stage) {
+					for _, j := range []*api.JobSpec{job1("job-1", "red", 8), job1("job-2", "red", 8), job1("job-3", "blue", 4), job1("job-4", "blue", 4)} {
+						s.order(4*time.Minute, j)
+						time.Sleep(2 * time.Second)
 					}
-				}
-			}
-			s.cancel("job-1", "job-3")
-			time.Sleep(off)
-			change(s)
-			for i := range 12 { // work that is new in the next term
-				s.order(10*time.Second, job1(fmt.Sprint("job-1", i), []string{"red", "blue"}[i%2], 4))
-				time.Sleep(700 * time.Millisecond)
-			}
-			time.Sleep(12 * time.Second)
-			for _, k := range s.hosts {
-				k.well()
-			}
-			s.cancel("job-2", "job-4")
-			s.settle(3 * time.Minute)
+					for i, id := range []string{"job-1", "job-3"} {
+						for n, k := range s.holders(id) {
+							if (n+i)%2 == 0 {
+								k.trouble(func(k *host) { k.cut = true })
+							} else {
+								k.hang(8 * time.Second)
+							}
+						}
+					}
+					s.cancel("job-1", "job-3")
+					time.Sleep(off)
+					change(s)
+					for i := range 12 { // work that is new in the next term
+						s.order(10*time.Second, job1(fmt.Sprint("job-1", i), []string{"red", "blue"}[i%2], 4))
+						time.Sleep(700 * time.Millisecond)
+					}
+					time.Sleep(12 * time.Second)
+					for _, k := range s.hosts {
+						k.well()
+					}
+					s.cancel("job-2", "job-4")
+					s.settle(3 * time.Minute)
+				})
+			})
 		})
-	})
+	}
 }
 
 // Jobs are cancelled in the seconds in which one controller's work changes hands:
 // at the one that ends, at the one that begins, and before anybody leads.
 func TestCancelledWhileWorkChangesHands(t *testing.T) {
-	eachChange(t, -2*time.Second, 4*time.Second, 600*time.Millisecond, func(t *testing.T, off time.Duration, change func(*stage)) {
-		playStage(t, 5, func(s *stage) {
-			for i := range 8 {
-				s.order(5*time.Minute, job1(fmt.Sprint("job-", i), []string{"red", "blue"}[i%2], 2))
-			}
-			time.Sleep(4 * time.Second)
-			cancels := func() {
-				for i := range 6 {
-					s.cancel(fmt.Sprint("job-", i))
-					time.Sleep(150 * time.Millisecond)
-				}
-			}
-			if off < 0 {
-				cancels()
-				time.Sleep(-off)
-				change(s)
-			} else {
-				go change(s)
-				time.Sleep(off)
-				cancels()
-			}
-			time.Sleep(40 * time.Second)
-			for i := range 6 {
-				s.same("on machines", s.h.onMachines(fmt.Sprint("job-", i)), []string(nil))
-			}
-			s.cancel("job-6", "job-7")
-			s.settle(time.Minute)
+	for way, play := range plays {
+		t.Run(way, func(t *testing.T) {
+			eachChange(t, -2*time.Second, 4*time.Second, 270*time.Millisecond, func(t *testing.T, off time.Duration, change func(*stage)) {
+				play(t, 5, func(s *stage) {
+					for i := range 8 {
+						s.order(5*time.Minute, job1(fmt.Sprint("job-", i), []string{"red", "blue"}[i%2], 2))
+					}
+					time.Sleep(4 * time.Second)
+					cancels := func() {
+						for i := range 6 {
+							s.cancel(fmt.Sprint("job-", i))
+							time.Sleep(70 * time.Millisecond)
+						}
+					}
+					if off < 0 {
+						cancels()
+						time.Sleep(-off)
+						change(s)
+					} else {
+						go change(s)
+						time.Sleep(off)
+						cancels()
+					}
+					time.Sleep(40 * time.Second)
+					for i := range 6 {
+						s.same("on machines", s.h.onMachines(fmt.Sprint("job-", i)), []string(nil))
+					}
+					s.cancel("job-6", "job-7")
+					s.settle(time.Minute)
+				})
+			})
 		})
-	})
+	}
 }
 
 // New machines are up within two seconds and get work at once while writes lag,
@@ -114,13 +125,10 @@
 // roster is durable: the next leader would not know that it may hold tasks, and
 // would begin them elsewhere.
 func TestNoStartBeforeTheRosterIsDurable(t *testing.T) {
-	for _, play := range []struct {
-		name string
-		with func(*testing.T, int, func(*stage))
-	}{{"answers", playStage}, {"direct", playSeldom}} {
+	for way, play := range plays {
 		for off := 500 * time.Millisecond; off <= 5*time.Second; off += 500 * time.Millisecond {
-			t.Run(fmt.Sprint(play.name, " ", off), func(t *testing.T) {
-				play.with(t, 2, func(s *stage) {
+			t.Run(fmt.Sprint(way, " ", off), func(t *testing.T) {
+				play(t, 2, func(s *stage) {
 					s.order(2*time.Minute, job1("job-1", "red", 14))
 					time.Sleep(3 * time.Second)
 					s.store.Hold(touches(store.MachinePrefix))
@@ -180,7 +188,9 @@
 // taken for gone, or for being there, on their account, and no machine for alive.
 func TestOldReportsArriveAfterNewerOnes(t *testing.T) {
 	eachChange(t, -time.Second, 5*time.Second, 500*time.Millisecond, func(t *testing.T, off time.Duration, change func(*stage)) {
-		playStage(t, 4, func(s *stage) {
+		playStage(t, 5, func(s *stage) {
+			gone := s.hosts[4]
+			gone.trouble(func(k *host) { k.cut = true }) // dies, and is returned
 			s.order(25*time.Second, job1("job-1", "red", 4))
 			s.order(3*time.Minute, job1("job-2", "red", 4))
 			time.Sleep(3 * time.Second)
@@ -213,6 +223,7 @@
 			}
 			time.Sleep(10 * time.Second)
 			replay()
+			s.same("roster", s.roster(), []string{"i-1", "i-2", "i-3", "i-4"})
 			s.cancel("job-2")
 			time.Sleep(5 * time.Second)
 			replay()
@@ -221,6 +232,7 @@
 			time.Sleep(2 * time.Second)
 			replay()
 			s.settle(2 * time.Minute)
+			s.same("returned", s.cloud.returned, []string{"i-5"})
 			s.same("begun after completion", s.h.begunWhenDone(), []string(nil))
 		})
 	})
@@ -387,6 +399,7 @@
 func TestDirectCommandsHeldUp(t *testing.T) {
 	troubles := map[string]func(*host){
 		"order":  func(k *host) { k.orderDelay = 9 * time.Second },
+		"held":   func(k *host) { k.orderDelay = 50 * time.Second },
 		"short":  func(k *host) { k.orderDelay = 1200 * time.Millisecond },
 		"answer": func(k *host) { k.answerDelay = 6 * time.Second },
 		"hang":   func(k *host) { k.hung = time.Now().Add(12 * time.Second) },
@@ -411,7 +424,7 @@
 							s.restart(300 * time.Millisecond)
 						}
 						s.order(20*time.Second, job1("job-3", "red", 16))
-						time.Sleep(35 * time.Second)
+						time.Sleep(55 * time.Second)
 						for _, k := range s.hosts {
 							k.well()
 						}
