Tests: no node tells users anything older, around acceptance, end and cancellation

A history of all questions and answers, in the order sent and received, checks what users are told; its rules are tested by themselves.

--- /dev/null
+++ b/internal/controller/told_test.go
@@ -0,0 +1,274 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+)
+
+// told is what users were told of every job, by every node. Questions and answers
+// are numbered in the order in which they were sent and came, so that it also holds
+// within one instant of the fake clock. The first answers that no user may get fail
+// the test.
+type told struct {
+	fail func(string)
+
+	mu       sync.Mutex
+	count    int
+	faults   int
+	answered int
+	jobs     map[string]*history
+}
+
+// history is what is known of one job beside the nodes: what its user has asked
+// for, what its tasks have done, and what was told.
+type history struct {
+	tasks                int
+	done                 map[string]bool
+	doneAt               time.Time
+	submitted, cancelled bool
+	// known is the number of the first answer that told it as accepted, over of
+	// the first that told its end.
+	known, over int
+	end         string
+	endAt       time.Time
+	// told counts the answers by phase; lines are the last ones.
+	told  map[string]int
+	lines []string
+}
+
+func newTold(t *testing.T) *told {
+	return &told{fail: func(s string) { t.Error(s) }, jobs: map[string]*history{}}
+}
+
+// of is the history of a job; the caller holds the lock.
+func (h *told) of(id string) *history {
+	j := h.jobs[id]
+	if j == nil {
+		j = &history{done: map[string]bool{}, told: map[string]int{}}
+		h.jobs[id] = j
+	}
+	return j
+}
+
+// question numbers a question. Its change is what the user wants, known before any
+// answer can follow from it.
+func (h *told) question(id string, change func(*history)) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if change != nil {
+		change(h.of(id))
+	}
+	h.count++
+	return h.count
+}
+
+// completed notes that a task has ended by itself on its machine.
+func (h *told) completed(task string) {
+	id, _, _ := strings.Cut(task, "/")
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	j := h.of(id)
+	if j.done[task] = true; len(j.done) == j.tasks && j.doneAt.IsZero() {
+		j.doneAt = time.Now()
+	}
+}
+
+// reply is what a user got.
+type reply struct {
+	asked   int
+	verb    string
+	node    string
+	st      api.JobState
+	created bool
+	err     error
+}
+
+// answer takes an answer in that has come now. An error other than ErrUnknownJob
+// is none.
+func (h *told) answer(id string, a reply) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.count++
+	j := h.of(id)
+	unknown := errors.Is(a.err, api.ErrUnknownJob)
+	if a.err != nil && !unknown {
+		return
+	}
+	h.answered++
+	what := a.st.Phase
+	if unknown {
+		what = "unknown"
+	}
+	j.told[what]++
+	j.lines = append(j.lines, fmt.Sprintf("%s #%d-#%d %s at %s: %s", time.Now().Format("05.000"), a.asked, h.count, a.verb, a.node, what))
+	if len(j.lines) > 12 {
+		j.lines = j.lines[1:]
+	}
+	if why := j.fault(id, a, unknown); why != "" {
+		if h.faults++; h.faults <= 3 {
+			h.fail(fmt.Sprintf("%s: %s\n\t%s", id, why, strings.Join(j.lines, "\n\t")))
+		}
+	}
+	if unknown {
+		return
+	}
+	if j.known == 0 {
+		j.known = h.count
+	}
+	if a.st.Final() && j.over == 0 {
+		j.over, j.end, j.endAt = h.count, a.st.Phase, time.Now()
+	}
+}
+
+// fault says which rule an answer breaks, if any.
+func (j *history) fault(id string, a reply, unknown bool) string {
+	later := func(than int) bool { return than != 0 && a.asked > than }
+	switch {
+	case unknown && later(j.known):
+		return "forgotten"
+	case unknown:
+		return ""
+	case !j.submitted:
+		return "invented"
+	case a.st.ID != id:
+		return "another job's state"
+	case a.created && later(j.known):
+		return "accepted once more"
+	case a.st.Final() && j.end != "" && j.end != a.st.Phase:
+		return "told another end than before"
+	case a.st.Phase == api.JobWithdrawn && !j.cancelled:
+		return "withdrawn though nobody has cancelled it"
+	case a.st.Phase == api.JobDone && len(j.done) < j.tasks:
+		return "done before its tasks are"
+	case !a.st.Final() && later(j.over):
+		return "told something older than its end"
+	case a.verb == "cancel" && !a.st.Final():
+		return "a cancellation answered with neither end"
+	}
+	return ""
+}
+
+// What users do, with the time that each waits for an answer.
+
+func (h *told) ask(n *node, id string) (api.JobState, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+	defer cancel()
+	a := reply{asked: h.question(id, nil), verb: "question", node: n.Settings.Node}
+	a.st, a.err = n.Job(ctx, id)
+	h.answer(id, a)
+	return a.st, a.err
+}
+
+func (h *told) submit(n *node, s *api.JobSpec) (created bool, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2500*time.Millisecond)
+	defer cancel()
+	a := reply{verb: "submission", node: n.Settings.Node}
+	a.asked = h.question(s.ID, func(j *history) { j.submitted, j.tasks = true, s.Tasks })
+	a.st, a.created, a.err = n.Submit(ctx, s)
+	h.answer(s.ID, a)
+	return a.created, a.err
+}
+
+// resubmitInvalid repeats a submission with a field missing.
+func (h *told) resubmitInvalid(n *node, id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2500*time.Millisecond)
+	defer cancel()
+	a := reply{asked: h.question(id, nil), verb: "invalid repeat", node: n.Settings.Node}
+	a.st, a.err = n.Known(ctx, id)
+	h.answer(id, a)
+}
+
+func (h *told) cancel(n *node, id string) (api.JobState, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	a := reply{verb: "cancel", node: n.Settings.Node}
+	a.asked = h.question(id, func(j *history) { j.cancelled = true })
+	a.st, a.err = n.Abort(ctx, id)
+	h.answer(id, a)
+	return a.st, a.err
+}
+
+// insist repeats what a user wants until it is answered, as users do.
+func insist(f func() error) error {
+	var err error
+	for begun := time.Now(); time.Since(begun) < time.Minute; time.Sleep(time.Second) {
+		if err = f(); err == nil || errors.Is(err, api.ErrUnknownJob) {
+			return err
+		}
+	}
+	return err
+}
+
+// answers counts the answers of all users.
+func (h *told) answers() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.answered
+}
+
+// end is how a job was told to have ended, and when.
+func (h *told) end(id string) (string, time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	j := h.of(id)
+	return j.end, j.endAt
+}
+
+// The rules that every meeting is held to must themselves be seen to fail.
+func TestToldRules(t *testing.T) {
+	at := func(phase string) api.JobState { return api.JobState{ID: "job-1", Phase: phase} }
+	const unknown = "unknown"
+	type step struct {
+		asked int // 0: after all before it
+		verb  string
+		phase string
+	}
+	for _, c := range []struct {
+		name                string
+		submitted, withdraw bool
+		completed           int
+		steps               []step
+		want                string
+	}{
+		{"nothing wrong", true, true, 2, []step{{0, "q", unknown}, {0, "q", "pending"}, {0, "q", "running"}, {0, "q", "pending"}, {0, "cancel", "done"}, {0, "q", "done"}}, ""},
+		{"asked before the end was told", true, true, 0, []step{{0, "q", "pending"}, {0, "cancel", "withdrawn"}, {1, "q", "running"}}, ""},
+		{"asked before it was told as accepted", true, false, 0, []step{{0, "q", "pending"}, {1, "q", unknown}}, ""},
+		{"invented", false, false, 0, []step{{0, "q", "pending"}}, "invented"},
+		{"forgotten", true, false, 0, []step{{0, "q", "pending"}, {0, "q", unknown}}, "forgotten"},
+		{"forgotten after its end", true, false, 2, []step{{0, "q", "done"}, {0, "q", unknown}}, "forgotten"},
+		{"running after the end", true, true, 0, []step{{0, "cancel", "withdrawn"}, {0, "q", "running"}}, "something older"},
+		{"pending after the end", true, false, 2, []step{{0, "q", "done"}, {0, "submission", "pending"}}, "something older"},
+		{"another end", true, true, 2, []step{{0, "cancel", "withdrawn"}, {1, "q", "done"}}, "another end"},
+		{"nobody cancelled", true, false, 0, []step{{0, "q", "withdrawn"}}, "nobody has cancelled"},
+		{"one task missing", true, false, 1, []step{{0, "q", "done"}}, "before its tasks"},
+		{"cancellation without an end", true, true, 0, []step{{0, "cancel", "pending"}}, "neither end"},
+		{"accepted twice", true, false, 0, []step{{0, "q", "pending"}, {0, "created", "pending"}}, "once more"},
+	} {
+		var got []string
+		h := &told{fail: func(s string) { got = append(got, s) }, jobs: map[string]*history{}}
+		h.question("job-1", func(j *history) { j.submitted, j.cancelled, j.tasks = c.submitted, c.withdraw, 2 })
+		for i := range c.completed {
+			h.completed(fmt.Sprint("job-1/", i))
+		}
+		for _, s := range c.steps {
+			a := reply{asked: s.asked, verb: s.verb, st: at(s.phase), created: s.verb == "created"}
+			if s.asked == 0 {
+				a.asked = h.question("job-1", nil)
+			}
+			if s.phase == unknown {
+				a.err = api.ErrUnknownJob
+			}
+			h.answer("job-1", a)
+		}
+		if all := strings.Join(got, "; "); (c.want == "") != (all == "") || !strings.Contains(all, c.want) {
+			t.Errorf("%s: got %q, want %q", c.name, all, c.want)
+		}
+	}
+}
