--- a/internal/controller/told_test.go
+++ b/internal/controller/told_test.go
@@ -221,6 +221,13 @@
 	return j.end, j.endAt
 }
 
+// doneAt is when the last of a job's tasks ended.
+func (h *told) doneAt(id string) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.of(id).doneAt
+}
+
 // The rules that every meeting is held to must themselves be seen to fail.
 func TestToldRules(t *testing.T) {
 	at := func(phase string) api.JobState { return api.JobState{ID: "job-1", Phase: phase} }
