--- a/internal/controller/answers_test.go
+++ b/internal/controller/answers_test.go
@@ -83,9 +83,9 @@
 	return y.gate.Watch(ctx, prefix, from, block)
 }
 
-// host is a scripted machine that reports by itself, whose tasks end after their
+// townHost is a scripted machine that reports by itself, whose tasks end after their
 // time and with its lease.
-type host struct {
+type townHost struct {
 	*worker
 	began map[string]time.Time
 	// sent is when its last report was sent, leased when the last answered one was.
@@ -103,7 +103,7 @@
 	links *links
 	ways  []*way
 	tally *tally
-	hosts []*host
+	hosts []*townHost
 	// takes is how long tasks run, by job; others run until ended.
 	takes sync.Map
 	users sync.WaitGroup
@@ -125,7 +125,7 @@
 		tn.begin(i)
 	}
 	for i := range hosts {
-		h := &host{worker: w.worker(fmt.Sprintf("i-%d", i+1), "a", false), began: map[string]time.Time{}, leased: time.Now(), changed: make(chan struct{}, 1)}
+		h := &townHost{worker: w.worker(fmt.Sprintf("i-%d", i+1), "a", false), began: map[string]time.Time{}, leased: time.Now(), changed: make(chan struct{}, 1)}
 		tn.hosts = append(tn.hosts, h)
 		tn.users.Go(func() { tn.live(h) })
 	}
@@ -158,7 +158,7 @@
 // leader is the number of the node that leads, or -1.
 func (tn *town) leader() int {
 	for i, n := range tn.all() {
-		if st, err := n.Standing(context.Background()); err == nil && st.Term > 0 {
+		if st, err := n.Standing(context.Background(), CancelPosition{}); err == nil && st.Term > 0 {
 			return i
 		}
 	}
@@ -166,7 +166,7 @@
 }
 
 // live has a machine report once a second and at every change.
-func (tn *town) live(h *host) {
+func (tn *town) live(h *townHost) {
 	for changed := false; !tn.over.Load(); {
 		now := time.Now()
 		if h.lapse(now); h.end(tn, now, "") || changed || now.Sub(h.sent) >= time.Second {
@@ -188,7 +188,7 @@
 }
 
 // tell sends a report to whichever node answers it.
-func (h *host) tell(tn *town) {
+func (h *townHost) tell(tn *town) {
 	h.sent = time.Now()
 	sent := h.sent
 	for _, n := range tn.all() {
@@ -215,7 +215,7 @@
 }
 
 // lapse ends the machine's lease if no report was answered in time.
-func (h *host) lapse(now time.Time) {
+func (h *townHost) lapse(now time.Time) {
 	if now.Sub(h.leased) <= 10*time.Second {
 		return
 	}
@@ -227,7 +227,7 @@
 }
 
 // end completes the tasks whose time is over, and those of the job named.
-func (h *host) end(tn *town, now time.Time, named string) (any bool) {
+func (h *townHost) end(tn *town, now time.Time, named string) (any bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for i := range h.rep.Tasks {
--- a/internal/controller/told_test.go
+++ b/internal/controller/told_test.go
@@ -23,12 +23,12 @@
 	count    int
 	faults   int
 	answered int
-	jobs     map[string]*history
+	jobs     map[string]*jobHistory
 }
 
-// history is what is known of one job beside the nodes: what its user has asked
+// jobHistory is what is known of one job beside the nodes: what its user has asked
 // for, what its tasks have done, and what was told.
-type history struct {
+type jobHistory struct {
 	tasks                int
 	done                 map[string]bool
 	doneAt               time.Time
@@ -44,14 +44,14 @@
 }
 
 func newTold(t *testing.T) *told {
-	return &told{fail: func(s string) { t.Error(s) }, jobs: map[string]*history{}}
+	return &told{fail: func(s string) { t.Error(s) }, jobs: map[string]*jobHistory{}}
 }
 
 // of is the history of a job; the caller holds the lock.
-func (h *told) of(id string) *history {
+func (h *told) of(id string) *jobHistory {
 	j := h.jobs[id]
 	if j == nil {
-		j = &history{done: map[string]bool{}, told: map[string]int{}}
+		j = &jobHistory{done: map[string]bool{}, told: map[string]int{}}
 		h.jobs[id] = j
 	}
 	return j
@@ -59,7 +59,7 @@
 
 // question numbers a question. Its change is what the user wants, known before any
 // answer can follow from it.
-func (h *told) question(id string, change func(*history)) int {
+func (h *told) question(id string, change func(*jobHistory)) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if change != nil {
@@ -128,7 +128,7 @@
 }
 
 // fault says which rule an answer breaks, if any.
-func (j *history) fault(id string, a reply, unknown bool) string {
+func (j *jobHistory) fault(id string, a reply, unknown bool) string {
 	later := func(than int) bool { return than != 0 && a.asked > than }
 	switch {
 	case unknown && later(j.known):
@@ -170,7 +170,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2500*time.Millisecond)
 	defer cancel()
 	a := reply{verb: "submission", node: n.Settings.Node}
-	a.asked = h.question(s.ID, func(j *history) { j.submitted, j.tasks = true, s.Tasks })
+	a.asked = h.question(s.ID, func(j *jobHistory) { j.submitted, j.tasks = true, s.Tasks })
 	a.st, a.created, a.err = n.Submit(ctx, s)
 	h.answer(s.ID, a)
 	return a.created, a.err
@@ -189,7 +189,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	a := reply{verb: "cancel", node: n.Settings.Node}
-	a.asked = h.question(id, func(j *history) { j.cancelled = true })
+	a.asked = h.question(id, func(j *jobHistory) { j.cancelled = true })
 	a.st, a.err = n.Abort(ctx, id)
 	h.answer(id, a)
 	return a.st, a.err
@@ -259,8 +259,8 @@
 		{"accepted twice", true, false, 0, []step{{0, "q", "pending"}, {0, "created", "pending"}}, "once more"},
 	} {
 		var got []string
-		h := &told{fail: func(s string) { got = append(got, s) }, jobs: map[string]*history{}}
-		h.question("job-1", func(j *history) { j.submitted, j.cancelled, j.tasks = c.submitted, c.withdraw, 2 })
+		h := &told{fail: func(s string) { got = append(got, s) }, jobs: map[string]*jobHistory{}}
+		h.question("job-1", func(j *jobHistory) { j.submitted, j.cancelled, j.tasks = c.submitted, c.withdraw, 2 })
 		for i := range c.completed {
 			h.completed(fmt.Sprint("job-1/", i))
 		}
