Tiny tasks do not outgrow a report; a job too large for a record is refused

A machine took thousands of tasks that need next to nothing of it; its report then exceeded a request's body, its lease ended and all began anew. At most 450 come to one. A job whose record fits no value was tried again for a minute at each of its user's attempts; it is answered 422.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -238,7 +238,12 @@
 	if types == nil {
 		return api.JobState{}, false, api.ErrUnavailable
 	}
-	if reason := neverRuns(spec, c.Settings.Site.Teams, types); reason != "" {
+	reason := neverRuns(spec, c.Settings.Site.Teams, types)
+	if reason == "" && !store.Fits(spec, c.Settings.Site.State.ValueKB) {
+		// The state service would refuse it each time the user comes back.
+		reason = "more names of types than a record holds"
+	}
+	if reason != "" {
 		return api.JobState{}, false, &api.NeverRunsError{Reason: reason}
 	}
 	st, created, err := c.records.Accept(ctx, spec, time.Now())
--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -271,13 +271,18 @@
 const slack = 1e-6
 
 func (m *machine) fits(s *api.JobSpec) bool {
-	return m.usedCPUs+s.CPUs <= m.cpus+slack && m.usedGPUs+s.GPUs <= m.gpus+slack &&
+	return len(m.attempts) < mostAttempts && m.usedCPUs+s.CPUs <= m.cpus+slack && m.usedGPUs+s.GPUs <= m.gpus+slack &&
 		m.usedMemory+s.MemoryGB <= m.memory+slack
 }
 
+// mostAttempts bounds what is on a machine, and so its report: one that does not
+// fit a request's body of 64 KiB cannot be sent, and all tasks would end with the
+// lease. Only tasks that take next to nothing of a machine come that many.
+const mostAttempts = 450
+
 // slots is how many more tasks of a job the machine has room for.
 func (m *machine) slots(s *api.JobSpec) int {
-	n := math.Inf(1)
+	n := float64(max(0, mostAttempts-len(m.attempts)))
 	for _, f := range []struct{ free, each float64 }{
 		{m.cpus - m.usedCPUs, s.CPUs}, {m.gpus - m.usedGPUs, s.GPUs}, {m.memory - m.usedMemory, s.MemoryGB},
 	} {
--- a/internal/controller/room_test.go
+++ b/internal/controller/room_test.go
@@ -1,11 +1,16 @@
 package controller
 
 import (
+	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
 	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/store"
 )
 
 // What other members did is known without going through them: the sums must
@@ -99,3 +104,62 @@
 		w.same("all have begun", len(stays.running())+len(spot.running()), 8)
 	})
 }
+
+// Tasks that take next to nothing of a machine: no more of them come to one than
+// its report can tell of, or it could not report at all and lose them.
+func TestTinyTasksDoNotOutgrowTheReport(t *testing.T) {
+	play(t, func(w *world) {
+		n := w.start("n0")
+		k := w.worker("i-1", "a", false)
+		s := spec("job-12345678901234567890", 2000)
+		s.CPUs, s.MemoryGB = 0.001, 0
+		w.submit(n, s)
+		most := 0
+		for range 60 {
+			k.report(n)
+			most = max(most, len(k.rep.Tasks))
+			if most > mostAttempts {
+				t.Fatalf("%d tasks on a machine", most)
+			}
+			time.Sleep(time.Second)
+			if len(k.rep.Tasks) == mostAttempts {
+				k.exit(api.CauseDone)
+			}
+		}
+		w.same("fills the machine", most, mostAttempts)
+		k.exit(api.CauseDone)
+		k.serve(n, 4)
+		w.same("phase", w.phase(n, s.ID), api.JobDone)
+		line, err := json.Marshal(map[string]any{"Shoot": s.ID + "/99999", "Sprout": uint64(math.MaxUint64), "Phase": "exited", "Cause": "halted", "Kept": true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if size := (len(line) + 1) * mostAttempts; size > 64<<10-1024 {
+			t.Errorf("a report of %d tasks takes %d bytes", mostAttempts, size)
+		}
+	})
+}
+
+// A job whose record no value of the store holds can never be accepted: its user
+// is told so, and does not come back for a minute.
+func TestJobTooLargeForARecord(t *testing.T) {
+	play(t, func(w *world) {
+		n := w.start("n0")
+		for _, c := range []struct {
+			names int
+			fits  bool
+		}{{1, true}, {300, true}, {4000, false}} {
+			s := spec(fmt.Sprint("job-", c.names), 1)
+			for range c.names {
+				s.Types = append(s.Types, "small-or-so")
+			}
+			s.Types = append(s.Types, "small")
+			_, _, err := n.Submit(context.Background(), s)
+			var never *api.NeverRunsError
+			if errors.As(err, &never) == c.fits {
+				t.Errorf("%d names: %v", c.names, err)
+			}
+			w.same("stored", w.store.Has(store.ActivePrefix+s.ID), c.fits)
+		}
+	})
+}
--- a/internal/store/records.go
+++ b/internal/store/records.go
@@ -34,6 +34,21 @@
 	Accepted time.Time   `json:"accepted"`
 }
 
+// Fits tells whether an accepted job's record fits a value of so many KiB.
+func Fits(spec *api.JobSpec, valueKB float64) bool {
+	// Everything else in a record is bounded, and short.
+	long := len(spec.Class) + len(spec.Image) + len(spec.Zone) + len(spec.Team)
+	for _, t := range spec.Types {
+		long += len(t) + 3
+	}
+	room := valueKB * 1024
+	if float64(6*long) < room-1024 {
+		return true // even if every byte is escaped
+	}
+	raw, err := json.Marshal(ActiveRecord{Spec: *spec, Accepted: time.Unix(0, 1).UTC()})
+	return err == nil && float64(len(raw)+32) <= room
+}
+
 // FinalRecord is a job that is over.
 type FinalRecord struct {
 	Phase string `json:"phase"`
