Questions about a job share reads; an end not yet sent is told from memory

Users who asked at all nodes, while one-task jobs came four a second, used up the request budget that submissions share. One read now serves all who asked before it began. Jobs whose end waits for its turn in the write rate were read from the store at each question; the leader's memory is as new until the first transaction with the end is on its way.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -76,6 +76,8 @@
 	directed map[string]directed
 	final    *lru.Cache[string, api.JobState]
 	cancels  cancelLog
+	// reads are the reads of the store that users wait for, by job.
+	reads map[string]*readRound
 }
 
 // message is what the owner goroutine is sent.
@@ -97,7 +99,7 @@
 		Config: cfg, records: store.Records{Store: cfg.UserStore},
 		mail: make(chan message, 256), depose: make(chan uint64, 4), resigns: make(chan string, 4), final: final,
 		sent: map[string]time.Time{}, directed: map[string]directed{}, up: newRelayUp(),
-		cancels: newCancelLog(cfg.Settings.Site.Workers, time.Now()), around: newAround(cfg.Settings.Peers, time.Now()),
+		reads: map[string]*readRound{}, cancels: newCancelLog(cfg.Settings.Site.Workers, time.Now()), around: newAround(cfg.Settings.Peers, time.Now()),
 	}
 }
 
@@ -315,17 +317,80 @@
 }
 
 func (c *Controller) lookup(ctx context.Context, id string) (api.JobState, error) {
-	st, found, err := c.records.Lookup(ctx, id)
-	if err != nil {
-		return st, err
+	m := readMsg{id, make(chan readReply, 1)}
+	if err := c.send(ctx, m); err != nil {
+		return api.JobState{}, err
 	}
-	if !found {
-		return st, api.ErrUnknownJob
+	select {
+	case r := <-m.reply:
+		if r.err == nil && !r.found {
+			return r.st, api.ErrUnknownJob
+		}
+		return r.st, r.err
+	case <-ctx.Done():
+		return api.JobState{}, ctx.Err()
+	}
+}
+
+// readMsg asks what the store has of a job. Users who ask again and again, at all
+// nodes, would use up the request budget that submissions share: one read serves
+// all who asked before it began, and those who ask meanwhile share the next. None
+// gets an answer that is older than its question.
+type readMsg struct {
+	id    string
+	reply chan readReply
+}
+
+type readReply struct {
+	st    api.JobState
+	found bool
+	err   error
+}
+
+// readRound is one read, and who waits for it and for the next.
+type readRound struct{ now, next []chan readReply }
+
+// readLife bounds one shared read.
+const readLife = time.Second
+
+func (m readMsg) apply(c *Controller) {
+	if r := c.reads[m.id]; r != nil {
+		r.next = append(r.next, m.reply)
+		return
 	}
-	if st.Final() {
-		return st, c.send(ctx, finalMsg{st})
+	c.reads[m.id] = &readRound{now: []chan readReply{m.reply}}
+	c.read(m.id)
+}
+
+func (c *Controller) read(id string) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), readLife)
+		defer cancel()
+		var r readReply
+		r.st, r.found, r.err = c.records.Lookup(ctx, id)
+		c.send(context.Background(), readDoneMsg{id, r})
+	}()
+}
+
+type readDoneMsg struct {
+	id string
+	r  readReply
+}
+
+func (m readDoneMsg) apply(c *Controller) {
+	if m.r.err == nil && m.r.found && m.r.st.Final() {
+		finalMsg{m.r.st}.apply(c)
+	}
+	round := c.reads[m.id]
+	for _, reply := range round.now {
+		reply <- m.r
+	}
+	if len(round.next) == 0 {
+		delete(c.reads, m.id)
+		return
 	}
-	return st, nil
+	round.now, round.next = round.next, nil
+	c.read(m.id)
 }
 
 // finalMsg tells the owner of a final state.
--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -64,7 +64,9 @@
 	longest               time.Duration
 
 	finishing bool
-	over      bool
+	// ending is set once a transaction that records its end may be on its way.
+	ending bool
+	over   bool
 }
 
 // Rank, Latest and ID make a job an item of its team's queue.
--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -223,7 +223,7 @@
 	if st, ok := r.c.final.Get(id); ok {
 		return pollReply{st: st, answered: true}
 	}
-	if j := r.jobs[id]; j != nil && !j.finishing {
+	if j := r.jobs[id]; j != nil && !j.ending {
 		return pollReply{st: j.state(), answered: true}
 	}
 	return pollReply{} // the store knows
--- a/internal/controller/recorder.go
+++ b/internal/controller/recorder.go
@@ -132,6 +132,8 @@
 		b.put(store.FinalPrefix+j.spec.ID, store.FinalRecord{Phase: api.JobDone, Tasks: j.spec.Tasks})
 		b.delete(active)
 		b.finished = append(b.finished, j)
+		// From now on others may read of its end before this node knows of it.
+		j.ending = true
 	}
 	w.enrolling = slices.DeleteFunc(w.enrolling, func(m *machine) bool { return m.gone })
 	for len(w.enrolling) > 0 && len(b.txn.Ops) < allowed && b.bytes < w.maxBytes {
