Tests: requests around a job's end, an outage, many small jobs, changes of leader

A cancellation, question or repeated submission is swept over 360 ms around the end of a job's last task. The store refuses the leader alone for up to 15 s and then everybody for 35 s while users cancel and ask. 720 one-task jobs come in three minutes, a quarter of them cancelled, with bounds on requests, writes, watches and jobs in memory. Jobs are accepted across a restarted leader, one refused alone and one away beyond its lease, with every fifth answer of the store lost.

--- a/internal/controller/answers_test.go
+++ b/internal/controller/answers_test.go
@@ -19,13 +19,13 @@
 type way struct {
 	gate
 	there, back time.Duration
-	txns        *tally
+	tally       *tally
 }
 
 // tally counts what the nodes ask of the store, by second.
 type tally struct {
-	mu              sync.Mutex
-	writes, watches map[int64]int
+	mu                        sync.Mutex
+	requests, writes, watches map[int64]int
 }
 
 func (y *tally) add(m map[int64]int, n int) {
@@ -34,20 +34,30 @@
 	m[time.Now().Unix()] += n
 }
 
-// most is the largest count of a second.
-func (y *tally) most(m map[int64]int) int {
+// counts are the largest count of a second and the sum.
+func (y *tally) counts(m map[int64]int) (most, sum int) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	most := 0
 	for _, n := range m {
 		most = max(most, n)
+		sum += n
 	}
-	return most
+	return most, sum
+}
+
+// reset begins anew.
+func (y *tally) reset() {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	clear(y.requests)
+	clear(y.writes)
+	clear(y.watches)
 }
 
 // trip carries a request out after its way there, and its answer after its way back.
 func trip[T any](ctx context.Context, y *way, f func() (T, error)) (T, error) {
 	var none T
+	y.tally.add(y.tally.requests, 1)
 	for _, leg := range []time.Duration{y.there, y.back} {
 		select {
 		case <-ctx.Done():
@@ -70,7 +80,7 @@
 }
 
 func (y *way) Txn(ctx context.Context, txn store.Txn) (store.Result, error) {
-	y.txns.add(y.txns.writes, len(txn.Ops))
+	y.tally.add(y.tally.writes, len(txn.Ops))
 	return trip(ctx, y, func() (store.Result, error) { return y.gate.Txn(ctx, txn) })
 }
 
@@ -79,7 +89,8 @@
 }
 
 func (y *way) Watch(ctx context.Context, prefix string, from uint64, block time.Duration) (store.Changes, error) {
-	y.txns.add(y.txns.watches, 1)
+	y.tally.add(y.tally.requests, 1)
+	y.tally.add(y.tally.watches, 1)
 	return y.gate.Watch(ctx, prefix, from, block)
 }
 
@@ -110,16 +121,19 @@
 
 	mu    sync.Mutex
 	nodes []*node
-	over  atomic.Bool
+	// stayed are the tasks that were on machines for too long after a confirmed
+	// cancellation.
+	stayed []string
+	over   atomic.Bool
 }
 
 func newTown(w *world, hosts int) *town {
 	w.zones = map[string]string{"n0": "a", "n1": "a", "n2": "a"}
 	w.teams[0].CPUsMax = 1000
 	tn := &town{world: w, told: newTold(w.t), links: &links{}, nodes: make([]*node, 3),
-		tally: &tally{writes: map[int64]int{}, watches: map[int64]int{}}}
+		tally: &tally{requests: map[int64]int{}, writes: map[int64]int{}, watches: map[int64]int{}}}
 	for i := range 3 {
-		y := &way{there: time.Duration(2+3*i) * time.Millisecond, back: time.Duration(1+2*i) * time.Millisecond, txns: tn.tally}
+		y := &way{there: time.Duration(2+3*i) * time.Millisecond, back: time.Duration(1+2*i) * time.Millisecond, tally: tn.tally}
 		y.gate.Fake = w.store
 		tn.ways = append(tn.ways, y)
 		tn.begin(i)
@@ -142,27 +156,44 @@
 	tn.nodes[i] = n
 }
 
-// at is a node as it is at present.
+// crash ends a node; users and machines no longer come to it.
+func (tn *town) crash(i int) {
+	tn.mu.Lock()
+	defer tn.mu.Unlock()
+	tn.nodes[i].crash()
+	tn.links.nodes.Delete(tn.nodes[i].Settings.Node)
+	tn.nodes[i] = nil
+}
+
+// at is a node as it is at present, or the next if that is down.
 func (tn *town) at(i int) *node {
 	tn.mu.Lock()
 	defer tn.mu.Unlock()
-	return tn.nodes[i%len(tn.nodes)]
+	for tn.nodes[i%3] == nil {
+		i++
+	}
+	return tn.nodes[i%3]
 }
 
+// all are the nodes that are up.
 func (tn *town) all() []*node {
 	tn.mu.Lock()
 	defer tn.mu.Unlock()
-	return slices.Clone(tn.nodes)
+	return slices.DeleteFunc(slices.Clone(tn.nodes), func(n *node) bool { return n == nil })
 }
 
-// leader is the number of the node that leads, or -1.
+// leader waits until a node leads, and is its number.
 func (tn *town) leader() int {
-	for i, n := range tn.all() {
-		if st, err := n.Standing(context.Background()); err == nil && st.Term > 0 {
-			return i
+	for {
+		for i := range 3 {
+			n := tn.at(i)
+			st, err := n.Standing(context.Background())
+			if err == nil && st.Term > 0 {
+				return int(n.Settings.Node[1] - '0')
+			}
 		}
+		time.Sleep(100 * time.Millisecond)
 	}
-	return -1
 }
 
 // live has a machine report once a second and at every change.
@@ -175,7 +206,7 @@
 		for _, ref := range h.running() {
 			id, _, _ := strings.Cut(ref, "/")
 			if end, at := tn.told.end(id); end == api.JobWithdrawn && now.Sub(at) > 30*time.Second {
-				tn.t.Errorf("%s is on %s %v after its user was told that it is cancelled", ref, h.rep.Machine, now.Sub(at))
+				tn.stays(ref)
 			}
 		}
 		select {
@@ -187,6 +218,21 @@
 	}
 }
 
+func (tn *town) stays(ref string) {
+	tn.mu.Lock()
+	defer tn.mu.Unlock()
+	if !slices.Contains(tn.stayed, ref) {
+		tn.stayed = append(tn.stayed, ref)
+	}
+}
+
+// gone sees that no task of a cancelled job has stayed for longer than it may.
+func (tn *town) gone() {
+	tn.mu.Lock()
+	defer tn.mu.Unlock()
+	tn.same("on machines too long after a confirmed cancellation", tn.stayed, []string(nil))
+}
+
 // tell sends a report to whichever node answers it.
 func (h *host) tell(tn *town) {
 	h.sent = time.Now()
@@ -313,10 +359,15 @@
 	}
 }
 
-// close ends machines and users.
+// close ends machines, users and nodes, with what these have on the way.
 func (tn *town) close() {
 	tn.over.Store(true)
 	tn.users.Wait()
+	tn.store.Lose(nil)
+	for _, n := range tn.all() {
+		n.crash()
+	}
+	time.Sleep(10 * time.Second)
 }
 
 // Users ask at all nodes within milliseconds, repeat the submission and cancel,
@@ -338,7 +389,7 @@
 			tn.store.SetBlind(false)
 		}},
 		{name: "newly elected", step: 60 * time.Millisecond, trouble: func(tn *town) {
-			tn.at(0).crash()
+			tn.crash(0)
 			tn.begin(0)
 		}},
 		{name: "another one", step: 700 * time.Millisecond, trouble: func(tn *town) {
@@ -379,6 +430,7 @@
 					time.Sleep(12 * time.Second)
 					w.same("enough was told", tn.told.answers() > 200, true)
 					tn.finally(map[string]string{"job-1": "done", "job-2": "running", "job-3": "withdrawn", "job-4": "withdrawn"})
+					tn.gone()
 					w.same("a job nobody submitted", w.phase(tn.at(try), "job-9"), api.ErrUnknownJob.Error())
 				})
 			}
@@ -607,3 +659,315 @@
 		})
 	}
 }
+
+// A cancellation, a question or a repeated submission meets the end of a job's last
+// task, with no other trouble: by a few milliseconds earlier or later, at the leader
+// and elsewhere. Whatever it is told, all are told from then on.
+func TestRequestsAroundTheEnd(t *testing.T) {
+	const jobs, tries, step = 8, 15, 3 * time.Millisecond
+	for _, c := range []struct {
+		name string
+		act  func(tn *town, at int, s *api.JobSpec)
+		// ends are those that must be seen in the sweep.
+		ends []string
+	}{
+		{"cancellation", func(tn *town, at int, s *api.JobSpec) { tn.cancel(at, s.ID) }, []string{"done", "withdrawn"}},
+		{"question", func(tn *town, at int, s *api.JobSpec) { tn.told.ask(tn.at(at), s.ID) }, []string{"done"}},
+		{"submission", func(tn *town, at int, s *api.JobSpec) { tn.accept(at, s) }, []string{"done"}},
+	} {
+		for by := range 2 {
+			t.Run(fmt.Sprint(c.name, " at n", by), func(t *testing.T) {
+				seen := map[string]int{}
+				for try := range tries {
+					play(t, func(w *world) {
+						tn := newTown(w, jobs/4)
+						defer tn.close()
+						var specs []*api.JobSpec
+						for i := range jobs {
+							specs = append(specs, spec(fmt.Sprint("job-", i), 1))
+							tn.accept(i, specs[i])
+						}
+						time.Sleep(4 * time.Second)
+						w.same("running", tn.held(), jobs)
+						// A tick's place in the second must not decide.
+						time.Sleep(time.Duration(try) * 7 * time.Millisecond)
+						tn.background(func() {
+							time.Sleep(80 * time.Millisecond)
+							for _, s := range specs {
+								tn.finish(s.ID)
+							}
+						})
+						for i, s := range specs {
+							tn.background(func() {
+								time.Sleep(time.Duration(i*tries+try) * step) // over 360 ms
+								c.act(tn, by, s)
+								for k := range 12 {
+									tn.background(func() { tn.told.ask(tn.at(k), s.ID) })
+									time.Sleep(time.Duration(k) * time.Millisecond)
+								}
+								tn.accept(by+1, s)
+							})
+						}
+						time.Sleep(3080 * time.Millisecond)
+						want := map[string]string{}
+						for i, s := range specs {
+							st, err := tn.told.ask(tn.at(i), s.ID)
+							if err != nil || !st.Final() {
+								t.Errorf("%s, 3 s after its end: %v, %v", s.ID, st, err)
+							}
+							seen[st.Phase]++
+							want[s.ID] = st.Phase
+						}
+						time.Sleep(2 * time.Second)
+						tn.finally(want)
+						w.same("on machines", tn.held(), 0)
+						w.same("starts", tn.starts(), jobs)
+					})
+				}
+				for _, phase := range c.ends {
+					w := seen[phase]
+					if w < jobs*tries/10 {
+						t.Errorf("%s seen %d times: %v", phase, w, seen)
+					}
+				}
+			})
+		}
+	}
+}
+
+// The store refuses the leader alone and then everybody, for longer than a
+// cancellation has, while users cancel and ask at all nodes: what was told holds,
+// and once the store is back all is answered.
+func TestAnswersAroundAnOutage(t *testing.T) {
+	aloneThenOut(t, func(tn *town, want map[string]string) { tn.finally(want) })
+}
+
+func aloneThenOut(t *testing.T, judge func(tn *town, want map[string]string)) {
+	for _, alone := range []time.Duration{0, 300 * time.Millisecond, time.Second, 3 * time.Second, 6 * time.Second, 8 * time.Second, 11 * time.Second, 15 * time.Second} {
+		t.Run(fmt.Sprint("alone for ", alone), func(t *testing.T) {
+			play(t, func(w *world) {
+				tn := newTown(w, 6)
+				defer tn.close()
+				time.Sleep(10 * time.Second) // all nodes know each other
+				const jobs = 20
+				want := map[string]string{}
+				for i := range jobs {
+					s := spec(fmt.Sprint("job-", i), 1)
+					if want[s.ID] = "done"; i%2 == 0 {
+						want[s.ID] = "withdrawn"
+					} else {
+						tn.takes.Store(s.ID, time.Duration(10+i)*time.Second)
+					}
+					tn.accept(i, s)
+				}
+				time.Sleep(3 * time.Second)
+				w.same("running", tn.held(), jobs)
+				tn.background(func() {
+					tn.ways[0].set(true)
+					time.Sleep(alone)
+					w.store.SetDown(true)
+					time.Sleep(35 * time.Second)
+					w.store.SetDown(false)
+					tn.ways[0].set(false)
+				})
+				for i := range jobs {
+					id := fmt.Sprint("job-", i)
+					tn.crowd(spec(id, 1), 300*time.Millisecond, alone+40*time.Second)
+					if i%2 == 0 {
+						tn.background(func() {
+							time.Sleep(time.Duration(i) * alone / 14) // the last ones in the outage
+							tn.cancel(i/2, id)
+						})
+					}
+				}
+				time.Sleep(alone + 43*time.Second)
+				for i := range jobs {
+					id := fmt.Sprint("job-", i)
+					for k := range 3 {
+						if _, err := tn.told.ask(tn.at(k), id); err != nil {
+							t.Errorf("%s at node %d, 8 s after the outage: %v", id, k, err)
+						}
+					}
+				}
+				time.Sleep(60 * time.Second)
+				w.same("on machines", tn.held(), 0)
+				judge(tn, want)
+			})
+		})
+	}
+}
+
+// follow has a job's user ask until told of its end, each time at another node.
+func (tn *town) follow(i int, id string, every time.Duration) {
+	tn.background(func() {
+		for ; !tn.over.Load(); i++ {
+			if st, err := tn.told.ask(tn.at(i), id); err == nil && st.Final() {
+				return
+			}
+			time.Sleep(every)
+		}
+	})
+}
+
+// Small jobs come four a second for minutes, a quarter of them cancelled. What that
+// costs must not grow: the writes and watches of a second, and the jobs in memory.
+func TestManySmallJobs(t *testing.T) {
+	play(t, func(w *world) {
+		tn := newTown(w, 10)
+		defer tn.close()
+		const jobs = 720
+		want := map[string]string{}
+		inMemory, lists := 0, 0
+		tn.tally.reset()
+		for i := range jobs {
+			s := spec(fmt.Sprint("job-", i), 1)
+			tn.takes.Store(s.ID, 2*time.Second)
+			tn.background(func() {
+				tn.accept(i, s)
+				tn.follow(i, s.ID, 700*time.Millisecond)
+				if i%4 == 1 {
+					time.Sleep(time.Duration(i*37%4000) * time.Millisecond)
+					tn.cancel(i/4, s.ID)
+					for k := range 6 {
+						tn.background(func() { tn.told.ask(tn.at(k), s.ID) })
+					}
+				}
+			})
+			// Four within some milliseconds, since one watch may show them all.
+			if time.Sleep(8 * time.Millisecond); i%4 == 3 {
+				time.Sleep(968 * time.Millisecond)
+				tn.at(0).look(func(c *Controller) {
+					r := c.reign
+					if r == nil {
+						t.Error("the leader leads no more")
+						return
+					}
+					inMemory = max(inMemory, len(r.jobs))
+					lists = max(lists, len(r.recorder.finishing)+len(r.recorder.drops)+len(r.recorder.dirty)+len(r.recorder.unsettled))
+				})
+			}
+		}
+		time.Sleep(15 * time.Second)
+		late, cancelled := 0, 0
+		for i := range jobs {
+			id := fmt.Sprint("job-", i)
+			end, at := tn.told.end(id)
+			if want[id] = end; end == api.JobWithdrawn {
+				cancelled++
+			} else if at.Sub(tn.told.doneAt(id)) > 3*time.Second+700*time.Millisecond {
+				late++
+			}
+			w.same("an end", end != "", true)
+		}
+		w.same("told late of an end", late, 0)
+		tn.finally(want)
+		tn.gone()
+		mostRequests, _ := tn.tally.counts(tn.tally.requests)
+		mostWrites, writes := tn.tally.counts(tn.tally.writes)
+		mostWatches, watches := tn.tally.counts(tn.tally.watches)
+		for _, b := range []struct {
+			what      string
+			got, most int
+		}{
+			{"requests in a second", mostRequests, 45},
+			{"writes in a second", mostWrites, 25},
+			// Its record, its end in the record's place, and the mark of a
+			// cancellation; a few for machines.
+			{"writes", writes, 3*jobs + cancelled + 60},
+			{"watches in a second", mostWatches, 10},
+			{"watches", watches, 700},
+			{"jobs in memory", inMemory, 16},
+			{"records to write", lists, 20},
+		} {
+			if b.got > b.most {
+				t.Errorf("%s: %d, more than %d", b.what, b.got, b.most)
+			}
+		}
+		w.same("cancelled in time", cancelled > 100, true)
+		tn.at(0).look(func(c *Controller) {
+			if c.reign == nil {
+				return
+			}
+			w.same("jobs left", len(c.reign.jobs), 0)
+			for _, m := range c.reign.machines {
+				w.same("attempts left", len(m.attempts), 0)
+			}
+		})
+		for _, prefix := range []string{store.ActivePrefix + "job-", store.ProgressPrefix} {
+			p, err := w.store.Range(context.Background(), prefix, "", 10)
+			if err != nil || len(p.Rows) > 0 {
+				t.Errorf("records left under %s: %v, %v", prefix, p.Rows, err)
+			}
+		}
+	})
+}
+
+// Whatever is accepted and not cancelled stays known and is done in the end, with
+// changes of leader of every kind and answers lost meanwhile.
+func TestAcceptedJobsAreDoneAcrossLeaders(t *testing.T) {
+	for shift := time.Duration(0); shift < 4*time.Second; shift += 700 * time.Millisecond {
+		t.Run(fmt.Sprint(shift), func(t *testing.T) {
+			play(t, func(w *world) {
+				tn := newTown(w, 5)
+				defer tn.close()
+				time.Sleep(10 * time.Second)
+				// Every fifth transaction's answer is lost.
+				writes, lost := 0, 0
+				w.store.Lose(func(txn store.Txn) bool {
+					if len(txn.Ops) == 0 {
+						return false
+					}
+					if writes++; writes%5 == 0 {
+						lost++
+					}
+					return writes%5 == 0
+				})
+				tn.background(func() {
+					time.Sleep(15*time.Second + shift)
+					i := tn.leader() // back at once
+					tn.crash(i)
+					tn.begin(i)
+					time.Sleep(25 * time.Second)
+					i = tn.leader() // refused alone: resigns
+					tn.ways[i].set(true)
+					time.Sleep(15 * time.Second)
+					tn.ways[i].set(false)
+					time.Sleep(10 * time.Second)
+					i = tn.leader() // away until its lease is over
+					tn.crash(i)
+					time.Sleep(40 * time.Second)
+					tn.begin(i)
+				})
+				const jobs = 60
+				want := map[string]string{}
+				for i := range jobs {
+					s := spec(fmt.Sprint("job-", i), 1+i%3)
+					tn.takes.Store(s.ID, time.Duration(2+i%7)*time.Second)
+					want[s.ID] = "done"
+					tn.background(func() {
+						tn.accept(i, s)
+						tn.follow(i, s.ID, 1500*time.Millisecond)
+						if i%10 == 3 {
+							time.Sleep(time.Duration(i%4) * time.Second)
+							tn.cancel(i+1, s.ID)
+						}
+						time.Sleep(2 * time.Second)
+						tn.accept(i+2, s)
+					})
+					time.Sleep(1700 * time.Millisecond)
+				}
+				time.Sleep(75 * time.Second)
+				w.store.Lose(nil)
+				for i := range jobs {
+					if id := fmt.Sprint("job-", i); i%10 == 3 {
+						want[id], _ = tn.told.end(id)
+					}
+				}
+				tn.finally(want)
+				tn.gone()
+				w.same("on machines", tn.held(), 0)
+				w.same("answers lost", lost > 20, true)
+			})
+		})
+	}
+}
