--- a/internal/controller/answers_test.go
+++ b/internal/controller/answers_test.go
@@ -742,6 +742,12 @@
 	aloneThenOut(t, func(tn *town, want map[string]string) { tn.finally(want) })
 }
 
+// Nor does a task run on for longer than a cancellation has: the leader hears of what
+// was cancelled through the others while it alone was refused.
+func TestCancelledTasksAroundAnOutage(t *testing.T) {
+	aloneThenOut(t, func(tn *town, _ map[string]string) { tn.gone() })
+}
+
 func aloneThenOut(t *testing.T, judge func(tn *town, want map[string]string)) {
 	for _, alone := range []time.Duration{0, 300 * time.Millisecond, time.Second, 3 * time.Second, 6 * time.Second, 8 * time.Second, 11 * time.Second, 15 * time.Second} {
 		t.Run(fmt.Sprint("alone for ", alone), func(t *testing.T) {
