A mute machine's new session frees its tasks

Cause: a machine that reaches no controller but answers probes was taken for alive with each answer, and nothing else of the answer was taken in. Its tasks had ended with its lease, and were thought to run for as long as the machine stayed mute.

Mend: an answer to a probe that shows a later session of a machine that was heard in this term is taken in like the answer to a greeting. One not heard still is not: TestMachineIsHeardOnlyWithThisTerm and TestTakeoverDoesNotWaitForADeafMachine failed without that condition.

--- a/internal/controller/silence.go
+++ b/internal/controller/silence.go
@@ -161,6 +161,14 @@
 		}
 		return
 	}
+	if p.m.heard && p.rep.Session > p.m.session && c.valid() {
+		// Its lease has ended while it reached no controller, and its tasks
+		// with that. Its reports may not come for long.
+		if _, err := p.r.takeIn(p.rep, drawnReport, time.Now()); err != nil {
+			c.Log.Debug("probe", "machine", p.m.name, "err", err)
+		}
+		return
+	}
 	// Alive, but its reports do not get here; what they would say is not
 	// known, so only the silence is taken back.
 	p.m.probeFails = 0
