--- a/internal/controller/machines_test.go
+++ b/internal/controller/machines_test.go
@@ -544,3 +544,28 @@
 		})
 	}
 }
+
+// A machine that reaches no controller while it answers direct questions loses its
+// tasks with its session. Its answers show that: its tasks begin elsewhere while it
+// is still mute, and are not called running for as long as that lasts.
+func TestMuteMachineLosesItsTasks(t *testing.T) {
+	for way, play := range plays {
+		for off := time.Duration(0); off < 3*time.Second; off += 300 * time.Millisecond {
+			t.Run(fmt.Sprint(way, " ", off), func(t *testing.T) {
+				play(t, 3, func(s *stage) {
+					s.order(3*time.Minute, job1("job-1", "red", 4))
+					time.Sleep(5*time.Second + off)
+					for _, k := range s.holders("job-1") {
+						k.trouble(func(k *host) { k.mute = true })
+					}
+					time.Sleep(time.Minute)
+					s.same("begun elsewhere", len(s.h.onMachines("job-1")), 4)
+					for _, k := range s.hosts {
+						k.well()
+					}
+					s.settle(4 * time.Minute)
+				})
+			})
+		}
+	}
+}
