A report of a later term ends the reign and not the process

A leader that still counted itself valid and heard from a machine with a newer token deposed itself while taking the report in, and then looked up the machine in a reign that was no more: the controller ended by itself. Found by TestNothingWaitsAfterTroubles, which met it now and then. The new test fails without the mend.

--- a/internal/controller/gate.go
+++ b/internal/controller/gate.go
@@ -93,8 +93,11 @@
 			return
 		}
 		ans, err := c.reign.report(m.rep, now)
-		if mc := c.reign.machines[m.rep.Machine]; mc != nil {
-			mc.passed = m.passed
+		// A report that shows a later term has ended this node's own.
+		if c.reign != nil {
+			if mc := c.reign.machines[m.rep.Machine]; mc != nil {
+				mc.passed = m.passed
+			}
 		}
 		m.reply <- reportReply{ans: ans, err: err}
 		return
--- a/internal/controller/trouble_test.go
+++ b/internal/controller/trouble_test.go
@@ -437,3 +437,26 @@
 		w.same("begun elsewhere", len(other.running()), 4)
 	})
 }
+
+// A leader that still holds itself for entitled hears from a machine that another
+// has begun a later term: it stops to lead, and does not end over the report.
+func TestReportOfALaterTermEndsTheReign(t *testing.T) {
+	play(t, func(w *world) {
+		n := w.start("n0")
+		k := w.worker("i-1", "a", false)
+		k.serve(n, 2)
+		rep := k.rep
+		rep.Term, rep.Seq = rep.Term+1, rep.Seq+1
+		n.look(func(c *Controller) {
+			defer func() {
+				if p := recover(); p != nil {
+					t.Errorf("ends over a report: %v", p)
+				}
+			}()
+			m := reportMsg{rep: &rep, reply: make(chan reportReply, 1), came: time.Now()}
+			m.apply(c)
+			w.same("refused", (<-m.reply).err, &api.NotLeaderError{})
+			w.same("leads", c.reign != nil, false)
+		})
+	})
+}
