API: a submission may name the jobs that it awaits

Awaits is kept in the record only if it names any, each job once; 400 for its own name, no list, and an item that is null, no string or no id. A job's state tells what it waits for, if the controller fills it in.

--- a/internal/api/wire.go
+++ b/internal/api/wire.go
@@ -78,6 +78,9 @@
 	CheckpointS float64  `json:"GraftS,omitempty"`
 	SaveS       float64  `json:"PressS,omitempty"`
 	DeadlineS   float64  `json:"DueS,omitempty"`
+	// Awaits are the jobs that must be done before a task of this one starts, each
+	// named once.
+	Awaits []string `json:"Awaits,omitempty"`
 }
 
 // Estimate is the owner's estimate of a task's run time.
@@ -108,6 +111,7 @@
 	CheckpointS *float64  `json:"GraftS"`
 	SaveS       *float64  `json:"PressS"`
 	DeadlineS   *float64  `json:"DueS"`
+	Awaits      []*string `json:"Awaits"`
 }
 
 var idForm = regexp.MustCompile(`^job-[0-9]{1,20}$`)
@@ -200,7 +204,33 @@
 			return nil, errors.New("field DueS must be above 0")
 		}
 	}
-	return s, s.check()
+	if err := s.check(); err != nil {
+		return s, err
+	}
+	awaits, err := in.awaits()
+	s.Awaits = awaits
+	return s, err
+}
+
+// awaits are the jobs that a submission names, each once, in the order in which
+// they are first named.
+func (in *submission) awaits() ([]string, error) {
+	var ids []string
+	seen := make(map[string]bool, len(in.Awaits))
+	for _, id := range in.Awaits {
+		switch {
+		case id == nil:
+			return nil, errors.New("field Awaits holds null")
+		case !ValidID(*id):
+			return nil, fmt.Errorf("field Awaits: %q is no job id", *id)
+		case *id == *in.ID:
+			return nil, errors.New("field Awaits names the job itself")
+		case !seen[*id]:
+			seen[*id] = true
+			ids = append(ids, *id)
+		}
+	}
+	return ids, nil
 }
 
 func (s *JobSpec) check() error {
@@ -259,6 +289,8 @@
 	Phase   string `json:"Phase"`
 	Done    int    `json:"done"`
 	Running int    `json:"running"`
+	// Awaits are the jobs that an unfinished job waits for.
+	Awaits []string `json:"Awaits,omitempty"`
 }
 
 // Final tells whether the job is over.
