--- a/cmd/ivytrestle/main.go
+++ b/cmd/ivytrestle/main.go
@@ -10,6 +10,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -27,8 +28,8 @@
 	Serve   serveCmd   `cmd:"" default:"withargs" help:"Run a controller."`
 	Check   checkCmd   `cmd:"" help:"Check a settings file and an operators' script."`
 	Submit  submitCmd  `cmd:"" help:"Submit a job."`
-	Show    showCmd    `cmd:"" help:"Show a job."`
-	Cancel  cancelCmd  `cmd:"" help:"Cancel a job."`
+	Show    showCmd    `cmd:"" help:"Show a job: its phase, its tasks and the jobs that it waits for."`
+	Cancel  cancelCmd  `cmd:"" help:"Cancel a job and all jobs that need it."`
 	Status  statusCmd  `cmd:"" help:"Show a controller's own view: leader, machines, queues."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
@@ -86,7 +87,25 @@
 
 type submitCmd struct {
 	remote
-	File string `arg:"" help:"The job as JSON; - is standard input."`
+	Await []string `sep:"none" placeholder:"JOB" help:"A job that must be done before this one starts; several with commas or by repeating the flag. Added to the Awaits of FILE."`
+	File  string   `arg:"" help:"The job as JSON; - is standard input."`
+}
+
+// Validate checks the ids before anything is read or sent. An empty one is an
+// error, too: it is more likely a variable that was never set than a wish for a job
+// that awaits nothing.
+func (c *submitCmd) Validate() error {
+	var ids []string
+	for _, list := range c.Await {
+		ids = append(ids, strings.Split(list, ",")...)
+	}
+	for _, id := range ids {
+		if err := client.CheckID(id); err != nil {
+			return fmt.Errorf("--await: %w", err)
+		}
+	}
+	c.Await = ids
+	return nil
 }
 
 func (c *submitCmd) Run() error {
@@ -100,6 +119,12 @@
 	if err != nil {
 		return fmt.Errorf("job: %w", err)
 	}
+	if len(raw) > api.MaxBody {
+		return fmt.Errorf("job: larger than %d bytes", api.MaxBody)
+	}
+	if raw, err = client.AddAwaits(raw, c.Await); err != nil {
+		return fmt.Errorf("%s: %w", c.File, err)
+	}
 	st, err := client.New(c.Addr).Submit(context.Background(), raw)
 	return printState(st, err)
 }
@@ -150,10 +175,19 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("%s %s: %d done, %d running\n", st.ID, st.Phase, st.Done, st.Running)
+	fmt.Println(stateLine(st))
 	return nil
 }
 
+// stateLine is a job's state as its user sees it.
+func stateLine(st api.JobState) string {
+	line := fmt.Sprintf("%s %s: %d done, %d running", st.ID, st.Phase, st.Done, st.Running)
+	if len(st.Awaits) > 0 {
+		line += ", waits for " + strings.Join(st.Awaits, ", ")
+	}
+	return line
+}
+
 func main() {
 	k := kong.Parse(&cli{}, kong.Name("ivytrestle"), kong.Description("A cluster scheduler for batch jobs."))
 	if err := k.Run(); err != nil {
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -49,3 +50,17 @@
 		}
 	}
 }
+
+// What a job waits for is read where it is told, and nothing where it is not.
+func TestAwaitsAreRead(t *testing.T) {
+	for body, want := range map[string][]string{
+		`{"NameId":"job-2","Phase":"pending","done":0,"running":0,"Awaits":["job-1","job-3"]}`: {"job-1", "job-3"},
+		`{"NameId":"job-2","Phase":"pending","done":0,"running":0}`:                            nil,
+	} {
+		cl := New("10.0.0.1:80")
+		cl.http.Transport = &answers{status: 200, body: body}
+		if st, err := cl.Show(context.Background(), "job-2"); err != nil || st.ID != "job-2" || !slices.Equal(st.Awaits, want) {
+			t.Errorf("%s: %+v, %v", body, st, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/client/job_test.go
@@ -0,0 +1,62 @@
+package client
+
+import (
+	"bytes"
+	"encoding/json"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+func TestAddAwaits(t *testing.T) {
+	for _, c := range []struct {
+		name, job, ids string
+		want           string
+	}{
+		{"no ids: as it came", ` {"b":1, "a":2}` + "\n", "", ` {"b":1, "a":2}` + "\n"},
+		{"no ids: not looked at", "x", "", "x"},
+		{"none before", `{"NameId":"job-3"}`, "job-1 job-2", `{"Awaits":["job-1","job-2"],"NameId":"job-3"}`},
+		{"null before", `{"Awaits":null}`, "job-1", `{"Awaits":["job-1"]}`},
+		{"empty before", `{"Awaits":[]}`, "job-1", `{"Awaits":["job-1"]}`},
+		{"some before", `{"Awaits":["job-9"]}`, "job-1", `{"Awaits":["job-9","job-1"]}`},
+		{"the last of two", `{"Awaits":["job-8"],"Awaits":["job-9"]}`, "job-1", `{"Awaits":["job-9","job-1"]}`},
+		{"another case", `{"awaits":["job-9"]}`, "job-1", `{"Awaits":["job-1"],"awaits":["job-9"]}`},
+		{"items for the controller to judge", `{"Awaits":[null,5]}`, "job-1", `{"Awaits":[null,5,"job-1"]}`},
+		{"numbers as written", `{"Cores":8.00,"Shoots":18446744073709551616}`, "job-1",
+			`{"Awaits":["job-1"],"Cores":8.00,"Shoots":18446744073709551616}`},
+	} {
+		got, err := AddAwaits([]byte(c.job), strings.Fields(c.ids))
+		if err != nil || string(got) != c.want {
+			t.Errorf("%s: %s, %v; want %s", c.name, got, err, c.want)
+		}
+	}
+	for _, c := range []struct{ name, job, ids, want string }{
+		{"empty", "", "job-1", "the job is no JSON object"},
+		{"not JSON", "{", "job-1", "the job is no JSON object"},
+		{"null", "null", "job-1", "the job is no JSON object"},
+		{"list", `[{"NameId":"job-3"}]`, "job-1", "the job is no JSON object"},
+		{"two", "{}{}", "job-1", "the job is no JSON object"},
+		{"a name for a list", `{"Awaits":"job-9"}`, "job-1", "the job's field Awaits is no list"},
+		{"an object for a list", `{"Awaits":{}}`, "job-1", "the job's field Awaits is no list"},
+		{"no id", "{}", "job-1 train", `"train" is no job id (job-NUMBER)`},
+		{"id with a quote", "{}", `job-1","job-2`, `"job-1\",\"job-2" is no job id (job-NUMBER)`},
+	} {
+		if got, err := AddAwaits([]byte(c.job), strings.Fields(c.ids)); err == nil || err.Error() != c.want || got != nil {
+			t.Errorf("%s: %s, %v; want %s", c.name, got, err, c.want)
+		}
+	}
+}
+
+// The caller's job is not written to.
+func TestAddAwaitsLeavesTheJob(t *testing.T) {
+	job := []byte(`{"Awaits": ["job-9"], "NameId": "job-3"}`)
+	before := bytes.Clone(job)
+	got, err := AddAwaits(job, []string{"job-1"})
+	if err != nil || !bytes.Equal(job, before) {
+		t.Fatalf("%s, %v", job, err)
+	}
+	var fields struct{ Awaits []string }
+	if err := json.Unmarshal(got, &fields); err != nil || !reflect.DeepEqual(fields.Awaits, []string{"job-9", "job-1"}) {
+		t.Errorf("%s, %v", got, err)
+	}
+}
