--- a/cmd/ivytrestle/main.go
+++ b/cmd/ivytrestle/main.go
@@ -123,7 +123,7 @@
 		return fmt.Errorf("job: larger than %d bytes", api.MaxBody)
 	}
 	if raw, err = client.AddAwaits(raw, c.Await); err != nil {
-		return fmt.Errorf("%s: %w", c.File, err)
+		return fmt.Errorf("job: %w", err)
 	}
 	st, err := client.New(c.Addr).Submit(context.Background(), raw)
 	return printState(st, err)
--- a/cmd/ivytrestle/main_test.go
+++ b/cmd/ivytrestle/main_test.go
@@ -50,7 +50,7 @@
 		{name: "repeated", job: `{"NameId":"job-9"}`, flags: "--await job-1 --await job-2", sent: `{"Awaits":["job-1","job-2"],"NameId":"job-9"}`},
 		{name: "with commas", job: `{"NameId":"job-9"}`, flags: "--await=job-1,job-2 --await job-3", sent: `{"Awaits":["job-1","job-2","job-3"],"NameId":"job-9"}`},
 		{name: "added", job: `{"Awaits":["job-4"]}`, flags: "--await job-1", sent: `{"Awaits":["job-4","job-1"]}`},
-		{name: "no object", job: "[]", flags: "--await job-1", err: "the job is no JSON object"},
+		{name: "no object", job: "[]", flags: "--await job-1", err: "job: not a JSON object"},
 		{name: "no id", job: "{}", flags: "--await job-1,train", err: `--await: "train" is no job id (job-NUMBER)`},
 		{name: "comma at the end", job: "{}", flags: "--await job-1,", err: `--await: "" is no job id (job-NUMBER)`},
 		{name: "empty", job: "{}", flags: "--await=", err: `--await: "" is no job id (job-NUMBER)`},
--- a/internal/client/job.go
+++ b/internal/client/job.go
@@ -24,11 +24,11 @@
 	}
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(job, &fields); err != nil || fields == nil {
-		return nil, errors.New("the job is no JSON object")
+		return nil, errors.New("not a JSON object")
 	}
 	var awaits []json.RawMessage
 	if old, ok := fields["Awaits"]; ok && json.Unmarshal(old, &awaits) != nil {
-		return nil, errors.New("the job's field Awaits is no list")
+		return nil, errors.New("field Awaits is not a list")
 	}
 	for _, id := range ids {
 		if err := CheckID(id); err != nil {
@@ -38,7 +38,7 @@
 	}
 	raw, err := json.Marshal(awaits)
 	if err != nil {
-		return nil, fmt.Errorf("the job's field Awaits: %w", err)
+		return nil, fmt.Errorf("field Awaits: %w", err)
 	}
 	fields["Awaits"] = raw
 	return json.Marshal(fields)
--- a/internal/client/job_test.go
+++ b/internal/client/job_test.go
@@ -31,13 +31,13 @@
 		}
 	}
 	for _, c := range []struct{ name, job, ids, want string }{
-		{"empty", "", "job-1", "the job is no JSON object"},
-		{"not JSON", "{", "job-1", "the job is no JSON object"},
-		{"null", "null", "job-1", "the job is no JSON object"},
-		{"list", `[{"NameId":"job-3"}]`, "job-1", "the job is no JSON object"},
-		{"two", "{}{}", "job-1", "the job is no JSON object"},
-		{"a name for a list", `{"Awaits":"job-9"}`, "job-1", "the job's field Awaits is no list"},
-		{"an object for a list", `{"Awaits":{}}`, "job-1", "the job's field Awaits is no list"},
+		{"empty", "", "job-1", "not a JSON object"},
+		{"not JSON", "{", "job-1", "not a JSON object"},
+		{"null", "null", "job-1", "not a JSON object"},
+		{"list", `[{"NameId":"job-3"}]`, "job-1", "not a JSON object"},
+		{"two", "{}{}", "job-1", "not a JSON object"},
+		{"a name for a list", `{"Awaits":"job-9"}`, "job-1", "field Awaits is not a list"},
+		{"an object for a list", `{"Awaits":{}}`, "job-1", "field Awaits is not a list"},
 		{"no id", "{}", "job-1 train", `"train" is no job id (job-NUMBER)`},
 		{"id with a quote", "{}", `job-1","job-2`, `"job-1\",\"job-2" is no job id (job-NUMBER)`},
 	} {
