--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -76,12 +76,80 @@
 	CancelS float64 `json:"cancel_s"`
 }
 
-// StateLimits bounds the use of the state service.
+// StateLimits bounds the use of the state service. Once the settings are parsed
+// it holds the smaller of the present limits and those to come: the service
+// changes over without notice, and refuses what is beyond its limits for good.
 type StateLimits struct {
 	RPS      float64 `json:"rps"`
 	WriteRPS float64 `json:"write_rps"`
 	ValueKB  float64 `json:"value_kb"`
 	TxnOps   int     `json:"txn_ops"`
+	// Next are the limits to come as the settings tell them.
+	Next *NextStateLimits `json:"next"`
+}
+
+// NextStateLimits are limits that the state service will have from some moment
+// on. What is absent stays as it is.
+type NextStateLimits struct {
+	RPS      *float64 `json:"rps"`
+	WriteRPS *float64 `json:"write_rps"`
+	ValueKB  *float64 `json:"value_kb"`
+	TxnOps   *int     `json:"txn_ops"`
+}
+
+// lower takes the limits to come into the present ones.
+func (l *StateLimits) lower() {
+	n := l.Next
+	if n == nil {
+		return
+	}
+	lowerTo(&l.RPS, n.RPS)
+	lowerTo(&l.WriteRPS, n.WriteRPS)
+	lowerTo(&l.ValueKB, n.ValueKB)
+	lowerTo(&l.TxnOps, n.TxnOps)
+}
+
+func lowerTo[T int | float64](limit, next *T) {
+	if next != nil {
+		*limit = min(*limit, *next)
+	}
+}
+
+// check tells whether a deployment can work within limits.
+func (l *StateLimits) check(field string) error {
+	for _, p := range []struct {
+		field string
+		v     float64
+	}{{"rps", l.RPS}, {"write_rps", l.WriteRPS}, {"value_kb", l.ValueKB}, {"txn_ops", float64(l.TxnOps)}} {
+		if !(p.v > 0) || math.IsInf(p.v, 0) {
+			return fmt.Errorf("field %s.%s: must be above 0, found %v", field, p.field, p.v)
+		}
+	}
+	if l.TxnOps < leastTxnOps {
+		return fmt.Errorf("field %s.txn_ops: at least %d are needed, found %d", field, leastTxnOps, l.TxnOps)
+	}
+	if l.ValueKB < leastValueKB {
+		return fmt.Errorf("field %s.value_kb: at least %v is needed for one record, found %v", field, leastValueKB, l.ValueKB)
+	}
+	return nil
+}
+
+// checkNext checks the limits to come, each where it is told.
+func (l *StateLimits) checkNext(field string) error {
+	if l.Next == nil {
+		return nil
+	}
+	next := *l // what is absent has been checked with the present limits
+	n := l.Next
+	for _, p := range []struct{ to, from *float64 }{{&next.RPS, n.RPS}, {&next.WriteRPS, n.WriteRPS}, {&next.ValueKB, n.ValueKB}} {
+		if p.from != nil {
+			*p.to = *p.from
+		}
+	}
+	if n.TxnOps != nil {
+		next.TxnOps = *n.TxnOps
+	}
+	return next.check(field)
 }
 
 // CloudLimits bounds the use of the cloud.
@@ -127,11 +195,19 @@
 		if errors.As(err, &typ) {
 			return nil, fmt.Errorf("field %s: expected %s, found %s", typ.Field, typ.Type, typ.Value)
 		}
+		var syntax *json.SyntaxError
+		if errors.As(err, &syntax) {
+			// What is not even JSON, a NaN say, has no field; what stands
+			// before it names one.
+			at := min(int(syntax.Offset), len(raw))
+			return nil, fmt.Errorf("not valid JSON: %w, after %q", err, raw[max(0, at-40):at])
+		}
 		return nil, fmt.Errorf("not valid JSON: %w", err)
 	}
 	if err := s.check(); err != nil {
 		return nil, err
 	}
+	s.Site.State.lower()
 	return &s, nil
 }
 
@@ -183,20 +259,18 @@
 		v     float64
 	}{
 		{"workers.report_s", s.Workers.ReportS}, {"workers.lease_s", s.Workers.LeaseS},
-		{"workers.cancel_s", s.Workers.CancelS}, {"state.rps", s.State.RPS},
-		{"state.write_rps", s.State.WriteRPS}, {"state.value_kb", s.State.ValueKB},
-		{"state.txn_ops", float64(s.State.TxnOps)}, {"cloud.rps", s.Cloud.RPS},
+		{"workers.cancel_s", s.Workers.CancelS}, {"cloud.rps", s.Cloud.RPS},
 		{"limits.cores", s.Limits.Cores}, {"limits.ram_mb", s.Limits.RAMMB}, {"limits.fd_limit", float64(s.Limits.FDLimit)},
 	} {
 		if !(p.v > 0) || math.IsInf(p.v, 0) {
 			return fmt.Errorf("field settings.%s: must be above 0, found %v", p.field, p.v)
 		}
 	}
-	if s.State.TxnOps < 5 {
-		return fmt.Errorf("field settings.state.txn_ops: at least 5 are needed, found %d", s.State.TxnOps)
+	if err := s.State.check("settings.state"); err != nil {
+		return err
 	}
-	if s.State.ValueKB < leastValueKB {
-		return fmt.Errorf("field settings.state.value_kb: at least %v is needed for one record, found %v", leastValueKB, s.State.ValueKB)
+	if err := s.State.checkNext("settings.state.next"); err != nil {
+		return err
 	}
 	if s.Limits.FDLimit < leastSockets {
 		return fmt.Errorf("field settings.limits.fd_limit: at least %d are needed, found %d", leastSockets, s.Limits.FDLimit)
@@ -219,6 +293,8 @@
 const (
 	// leastValueKB holds the record of one job.
 	leastValueKB = 1.0
+	// leastTxnOps is more than what a cancellation takes.
+	leastTxnOps = 5
 	// leastSockets are those for the outside services, the other controllers
 	// and a few users and workers.
 	leastSockets = 64
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -70,3 +70,64 @@
 		t.Error(err)
 	}
 }
+
+// withNext are good settings with limits to come.
+func withNext(next string) []byte {
+	return []byte(strings.Replace(good, `"txn_ops":20`, `"txn_ops":20,"next":`+next, 1))
+}
+
+// The service changes its limits without notice, so the smaller of the present
+// ones and those to come hold from the start, each by itself.
+func TestLimitsToCome(t *testing.T) {
+	for _, c := range []struct {
+		next string
+		want [4]float64
+	}{
+		{`null`, [4]float64{80, 25, 16, 20}},
+		{`{}`, [4]float64{80, 25, 16, 20}},
+		{`{"rps":40,"write_rps":12.5,"value_kb":4,"txn_ops":6}`, [4]float64{40, 12.5, 4, 6}},
+		{`{"rps":400,"write_rps":250,"value_kb":64,"txn_ops":60}`, [4]float64{80, 25, 16, 20}},
+		{`{"value_kb":1,"txn_ops":5,"another":{}}`, [4]float64{80, 25, 1, 5}},
+		{`{"rps":null,"write_rps":2,"value_kb":null,"txn_ops":null}`, [4]float64{80, 2, 16, 20}},
+		{`{"rps":3,"write_rps":1e9}`, [4]float64{3, 25, 16, 20}},
+		{`{"txn_ops":7}`, [4]float64{80, 25, 16, 7}},
+	} {
+		s, err := Parse(withNext(c.next))
+		if err != nil {
+			t.Errorf("%s: %v", c.next, err)
+			continue
+		}
+		l := s.Site.State
+		if got := [4]float64{l.RPS, l.WriteRPS, l.ValueKB, float64(l.TxnOps)}; got != c.want {
+			t.Errorf("%s: %v, want %v", c.next, got, c.want)
+		}
+	}
+}
+
+// Nonsense among the limits to come ends the start, not some later moment.
+func TestBadLimitsToComeNameTheField(t *testing.T) {
+	for _, c := range []struct{ next, want string }{
+		{`{"rps":-1}`, "settings.state.next.rps"},
+		{`{"rps":0}`, "settings.state.next.rps"},
+		{`{"rps":"40"}`, "settings.state.next.rps"},
+		{`{"rps":NaN}`, "rps"},
+		{`{"write_rps":0}`, "settings.state.next.write_rps"},
+		{`{"write_rps":1e400}`, "settings.state.next.write_rps"},
+		{`{"write_rps":[]}`, "settings.state.next.write_rps"},
+		{`{"value_kb":-8}`, "settings.state.next.value_kb"},
+		{`{"value_kb":0.5}`, "settings.state.next.value_kb"},
+		{`{"value_kb":true}`, "settings.state.next.value_kb"},
+		{`{"txn_ops":4}`, "settings.state.next.txn_ops"},
+		{`{"txn_ops":-20}`, "settings.state.next.txn_ops"},
+		{`{"txn_ops":7.5}`, "settings.state.next.txn_ops"},
+		{`{"txn_ops":{}}`, "settings.state.next.txn_ops"},
+		{`5`, "settings.state.next"},
+		{`[{"rps":4}]`, "settings.state.next"},
+		{`"none"`, "settings.state.next"},
+	} {
+		_, err := Parse(withNext(c.next))
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", c.next, err)
+		}
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -460,8 +460,18 @@
 func (c *Controller) storeTypes(ctx context.Context, types []api.MachineType) {
 	cctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	txn := store.Txn{Ops: []store.Op{{Put: store.TypesKey, Value: types}}}
-	if _, err := c.Store.Txn(cctx, txn); err != nil && !errors.Is(err, context.Canceled) {
+	// Versions read one record, and a list with types missing would have jobs
+	// told that they never run. So one that does not fit is not stored: a node
+	// that starts while the cloud is away then waits for it.
+	raw, err := json.Marshal(types)
+	if room := min(c.Settings.Site.State.ValueKB*1024, store.MaxTxnBytes*3/4); err != nil || float64(len(raw)) > room {
+		c.Log.Warn("machine types do not fit a record", "bytes", len(raw), "err", err)
+		return
+	}
+	txn := store.Txn{Ops: []store.Op{{Put: store.TypesKey, Value: json.RawMessage(raw)}}}
+	if _, err := c.Store.Txn(cctx, txn); errors.Is(err, store.ErrMalformed) {
+		c.Log.Warn("machine types not stored", "err", err)
+	} else if err != nil && !errors.Is(err, context.Canceled) {
 		c.Log.Debug("machine types not stored", "err", err)
 	}
 }
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -90,6 +90,9 @@
 	reportS  float64
 	// cancelS is how long a cancellation may take; 0: 30 s.
 	cancelS float64
+	// state are the service's limits as the nodes know them; none: those of a
+	// usual site.
+	state config.StateLimits
 	// zones are the nodes' zones.
 	zones map[string]string
 	// dead are the machines that do not answer when asked directly, and tardy
@@ -233,7 +236,7 @@
 	s := &config.Settings{Node: name, Zone: w.zones[name], Site: config.SiteInfo{Teams: w.teams,
 		Objectives: []config.Objective{{Kind: "finished", Class: "c", WithinS: 90}},
 		Workers:    config.Workers{ReportS: max(1, w.reportS), LeaseS: max(10, 5*w.reportS), CancelS: cmp.Or(w.cancelS, 30)},
-		State:      config.StateLimits{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
+		State:      cmp.Or(w.state, config.StateLimits{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12}),
 		Cloud:      config.CloudLimits{RPS: 5, ListLagS: 4},
 		Limits:     config.Limits{FDLimit: 2400}}}
 	if peers != nil {
--- a/internal/controller/keep.go
+++ b/internal/controller/keep.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -144,14 +146,79 @@
 		}
 	}
 	if len(a.hosts) > 0 {
-		rec := store.KeepRecord{Term: m.term, Hosts: a.hosts}
-		txn := store.Txn{Guards: []store.Guard{{Key: election.TermKey, Mark: term.Mark}},
-			Ops: []store.Op{{Put: store.KeepPrefix + c.Settings.Node, Value: rec}}}
-		if _, err := c.Store.Txn(ctx, txn); err != nil {
+		c.publishKept(ctx, a.hosts, m.term, term.Mark)
+	}
+	return m, nil
+}
+
+// keptRows is how many records of kept machines a leader reads, of any version.
+const keptRows = 100
+
+// publishKept writes which machines are kept alive here. A list that does not fit
+// one record goes on under further keys: leaders take in every record under the
+// prefix by itself, whatever follows the node's name. A record that is not renewed
+// with the others says nothing any more.
+func (c *Controller) publishKept(ctx context.Context, hosts []string, term, mark uint64) {
+	lim := c.Settings.Site.State
+	for room := min(int(lim.ValueKB*1024), store.MaxTxnBytes/2); room > 0; room /= 2 {
+		recs := keptRecords(hosts, term, room)
+		if most := max(1, keptRows/(len(c.Settings.Peers)+1)); len(recs) > most {
+			// No leader would read the rest. Which are left out is left to
+			// chance, by the order of the list: the same ones would be asked
+			// for, and perhaps returned.
+			c.Log.Warn("kept machines left out", "machines", len(hosts), "records", len(recs), "most", most)
+			recs = recs[:most]
+		}
+		err := c.writeKept(ctx, recs, mark, max(1, min(lim.TxnOps, store.MaxTxnBytes*3/4/(room+200))))
+		if err == nil {
+			return
+		}
+		if !errors.Is(err, store.ErrMalformed) {
 			c.Log.Debug("kept machines not published", "err", err)
+			return
 		}
+		c.Log.Error("kept machines refused as too large", "bytes", room)
 	}
-	return m, nil
+}
+
+// writeKept writes records of kept machines, so many in a transaction.
+func (c *Controller) writeKept(ctx context.Context, recs []store.KeepRecord, mark uint64, ops int) error {
+	txn := store.Txn{Guards: []store.Guard{{Key: election.TermKey, Mark: mark}}}
+	for i, rec := range recs {
+		key := store.KeepPrefix + c.Settings.Node
+		if i > 0 {
+			key += "/" + strconv.Itoa(i+1)
+		}
+		txn.Ops = append(txn.Ops, store.Op{Put: key, Value: rec})
+		if len(txn.Ops) < ops && i < len(recs)-1 {
+			continue
+		}
+		res, err := c.Store.Txn(ctx, txn)
+		if err != nil || !res.OK {
+			return err
+		}
+		txn.Ops = nil
+	}
+	return nil
+}
+
+// keptRecords spreads machines over records of at most so many bytes.
+func keptRecords(hosts []string, term uint64, room int) (recs []store.KeepRecord) {
+	const frame = 48 // of a record, beside the names
+	size := 0
+	for _, name := range hosts {
+		raw, err := json.Marshal(name)
+		if err != nil || frame+len(raw)+1 > room {
+			continue // such a name is on no roster either
+		}
+		if len(recs) == 0 || size+len(raw)+1 > room {
+			recs, size = append(recs, store.KeepRecord{Term: term}), frame
+		}
+		last := &recs[len(recs)-1]
+		last.Hosts = append(last.Hosts, name)
+		size += len(raw) + 1
+	}
+	return recs
 }
 
 // askLeaderMsg asks the owner whom it follows and whose machines it keeps.
@@ -216,7 +283,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, 2*time.Second)
 		defer cancel()
-		p, err := r.c.Store.Range(ctx, store.KeepPrefix, "", 100)
+		p, err := r.c.Store.Range(ctx, store.KeepPrefix, "", keptRows)
 		if err != nil {
 			r.c.Log.Debug("kept machines not read", "err", err)
 			return
--- /dev/null
+++ b/internal/controller/limits_test.go
@@ -0,0 +1,364 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/config"
+	"example.org/ivytrestle/internal/store"
+)
+
+// limits are those of the service that a test plays with.
+type limits struct {
+	ops, valueKB int
+	writes       float64
+}
+
+func (l limits) String() string {
+	return fmt.Sprintf("%d changes, %d KiB, %v writes", l.ops, l.valueKB, l.writes)
+}
+
+func (l limits) settings() config.StateLimits {
+	return config.StateLimits{RPS: 100, WriteRPS: l.writes, ValueKB: float64(l.valueKB), TxnOps: l.ops}
+}
+
+// enforce has the service refuse what is beyond the limits.
+func (w *world) enforce(l limits) { w.store.SetLimits(l.valueKB<<10, l.ops) }
+
+// neverTooLarge is checked at the end: nothing was refused for its size.
+func (w *world) neverTooLarge() {
+	w.t.Helper()
+	if refused := w.store.TooLarge(); len(refused) > 0 {
+		w.t.Errorf("refused %d times for size: %v", len(refused), refused[:min(5, len(refused))])
+	}
+}
+
+// reportAll has machines report once a second.
+func reportAll(ks []*worker, n *node, seconds int) {
+	for range seconds {
+		for _, k := range ks {
+			k.report(n)
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+func exitAll(ks []*worker) {
+	for _, k := range ks {
+		k.exit(api.CauseDone)
+	}
+}
+
+func runningOf(ks []*worker, id string) (tasks []string) {
+	for _, k := range ks {
+		for _, ref := range k.running() {
+			if strings.HasPrefix(ref, id+"/") {
+				tasks = append(tasks, ref)
+			}
+		}
+	}
+	slices.Sort(tasks)
+	return tasks
+}
+
+// small are limits down to the least that any part of the program works with: a
+// cancellation is three changes.
+var small = []limits{{3, 1, 4}, {3, 1, 8}, {4, 1, 5}, {5, 1, 6}, {5, 2, 25}, {12, 8, 25}, {20, 64, 50}, {200, 64, 500}}
+
+// Whatever the limits, jobs are accepted, run, done and cancelled, and a new
+// leader takes over, without the service ever refusing anything for its size.
+func TestSmallLimits(t *testing.T) {
+	for _, l := range small {
+		t.Run(l.String(), func(t *testing.T) {
+			play(t, func(w *world) {
+				w.teams[0].CPUs, w.teams[0].CPUsMax = 100, 200
+				w.state = l.settings()
+				w.enforce(l)
+				a := w.start("n0")
+				var ks []*worker
+				for i := range 24 {
+					ks = append(ks, w.worker(fmt.Sprintf("i-%06d", i), "a", false))
+				}
+				reportAll(ks, a, 8)
+				w.same("on the roster", len(w.roster()), 24)
+				w.submit(a, spec("job-1", 60))
+				w.submit(a, spec("job-2", 30))
+				reportAll(ks, a, 6)
+				if len(runningOf(ks, "job-1"))+len(runningOf(ks, "job-2")) < 60 {
+					w.t.Fatalf("only %d and %d run", len(runningOf(ks, "job-1")), len(runningOf(ks, "job-2")))
+				}
+				exitAll(ks[:8])
+				reportAll(ks, a, 6)
+				st, err := a.Abort(context.Background(), "job-2")
+				w.same("cancelled", []any{st.Phase, err}, []any{api.JobWithdrawn, nil})
+				reportAll(ks, a, 6)
+				w.same("of the cancelled job", runningOf(ks, "job-2"), []string(nil))
+				a.crash()
+				b := w.start("n0")
+				reportAll(ks, b, 8)
+				for range 4 {
+					exitAll(ks)
+					reportAll(ks, b, 5)
+				}
+				w.same("after a takeover", w.phase(b, "job-1"), "done")
+				w.same("cancelled still", w.phase(b, "job-2"), api.JobWithdrawn)
+				w.dead.Store(ks[0].rep.Machine, true)
+				w.dead.Store(ks[1].rep.Machine, true)
+				reportAll(ks[2:], b, 40)
+				w.same("on the roster at last", len(w.roster()), 22)
+				w.same("progress left", w.keysUnder(store.ProgressPrefix), []string(nil))
+				w.neverTooLarge()
+			})
+		})
+	}
+}
+
+// keysUnder lists the keys with a prefix.
+func (w *world) keysUnder(prefix string) (keys []string) {
+	w.t.Helper()
+	p, err := w.store.Range(context.Background(), prefix, "", 1000)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	for _, e := range p.Rows {
+		keys = append(keys, e.Key)
+	}
+	return keys
+}
+
+// oldSheet is a sheet as an earlier version writes it under larger limits.
+func (w *world) oldSheet(key string, n int) {
+	w.t.Helper()
+	var rec store.RosterRecord
+	for i := range n {
+		name := fmt.Sprintf("i-%06d", i)
+		rec.Machines = append(rec.Machines, store.MachineRecord{Name: name, Addr: name, Type: "small", Zone: "a", CPUs: 4, MemoryGB: 16})
+	}
+	if _, err := w.store.Txn(context.Background(), store.Txn{Ops: []store.Op{{Put: key, Value: rec}}}); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// inUse lists the machines that may be given tasks.
+func inUse(n *node) (names []string) {
+	n.look(func(c *Controller) {
+		if c.reign == nil {
+			return
+		}
+		for name, m := range c.reign.machines {
+			if m.roster == rosterDurable && !m.gone {
+				names = append(names, name)
+			}
+		}
+	})
+	return names
+}
+
+// A sheet of the version in production may hold more machines than the service
+// takes by now in one value. When it is written again it is split, and whatever
+// is cut off between, refused, lost or late, each machine is on some sheet.
+func TestLargeSheetIsSplit(t *testing.T) {
+	for _, l := range []limits{{3, 1, 25}, {5, 1, 25}, {12, 2, 25}} {
+		for _, trouble := range []string{"none", "answers lost", "late", "leader crashes"} {
+			t.Run(l.String()+" "+trouble, func(t *testing.T) {
+				play(t, func(w *world) {
+					w.oldSheet(store.MachinePrefix+"0-1", 26)
+					w.state = l.settings()
+					w.enforce(l) // from now on
+					a := w.start("n0")
+					var ks []*worker
+					for i := range 26 {
+						ks = append(ks, w.worker(fmt.Sprintf("i-%06d", i), "a", false))
+					}
+					reportAll(ks, a, 3)
+					w.same("read", len(inUse(a)), 26)
+					w.same("not written without need", w.keysUnder(store.MachinePrefix), []string{store.MachinePrefix + "0-1"})
+					w.dead.Store(ks[0].rep.Machine, true)
+					for i := range 100 {
+						switch {
+						case trouble == "answers lost" && i%3 == 0:
+							w.store.Lose(touches(store.MachinePrefix))
+						case trouble == "late" && i%4 == 0:
+							w.store.Hold(touches(store.MachinePrefix))
+						case trouble == "late" && i%4 == 3:
+							w.store.Release()
+						case trouble == "leader crashes" && i%25 == 22:
+							a.crash()
+							a = w.start("n0")
+						default:
+							w.store.Lose(nil)
+						}
+						for range 4 {
+							for _, k := range ks[1:] {
+								k.report(a)
+							}
+							time.Sleep(250 * time.Millisecond)
+							used := inUse(a)
+							on := w.roster()
+							for _, name := range used {
+								if !slices.Contains(on, name) {
+									w.t.Fatalf("second %d: %s may be in use and is on no sheet", i, name)
+								}
+							}
+						}
+					}
+					w.store.Lose(nil)
+					w.store.Release()
+					reportAll(ks[1:], a, 10)
+					w.same("in use", len(inUse(a)), 25)
+					if w.store.Has(store.MachinePrefix + "0-1") {
+						w.t.Errorf("the large sheet is still there: %v", w.keysUnder(store.MachinePrefix))
+					}
+					a.crash()
+					b := w.start("n0")
+					reportAll(ks[1:], b, 3)
+					w.same("read by the next leader", len(inUse(b)), 25)
+					w.neverTooLarge()
+				})
+			})
+		}
+	}
+}
+
+// doneOnRecord are the done tasks of a job as the next leader reads them.
+func (w *world) doneOnRecord(id string) map[int]bool {
+	w.t.Helper()
+	done := map[int]bool{}
+	p, err := w.store.Range(context.Background(), store.ProgressPrefix+id+"/", "", 1000)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	for _, e := range p.Rows {
+		_, first, ok := store.ParseProgressKey(e.Key)
+		var rec store.ProgressRecord
+		if err := json.Unmarshal(e.Value, &rec); err != nil || !ok {
+			w.t.Fatal(e.Key, err)
+		}
+		for i := range 8 * len(rec.Done) {
+			if rec.Done[i/8]&(1<<(i%8)) != 0 {
+				done[first+i] = true
+			}
+		}
+	}
+	return done
+}
+
+// A progress record written under larger limits speaks of more tasks than a new
+// one may. It is not written over before those beyond are on record elsewhere:
+// at no moment, whatever is lost or late, does the next leader find less done.
+func TestLongProgressRecord(t *testing.T) {
+	for _, trouble := range []string{"none", "answers lost", "leader crashes"} {
+		t.Run(trouble, func(t *testing.T) {
+			play(t, func(w *world) {
+				const tasks, before = 30000, 14000 // new records hold 4096
+				w.store.SetLimits(8<<10, 12)
+				s := spec("job-1", tasks)
+				s.CPUs, s.MemoryGB = 0.01, 0.01
+				bits := make([]byte, tasks/8)
+				was := map[int]bool{}
+				for i := range before {
+					if i%7 != 0 {
+						bits[i/8] |= 1 << (i % 8)
+						was[i] = true
+					}
+				}
+				if _, err := w.store.Txn(context.Background(), store.Txn{Ops: []store.Op{
+					{Put: store.ActivePrefix + s.ID, Value: store.ActiveRecord{Spec: *s, Accepted: time.Now()}},
+					{Put: store.ProgressKey(s.ID, 0), Value: store.ProgressRecord{Done: bits}},
+				}}); err != nil {
+					w.t.Fatal(err)
+				}
+				l := limits{3, 1, 25}
+				w.state = l.settings()
+				w.enforce(l)
+				a := w.start("n0")
+				ks := []*worker{w.worker("i-1", "a", false), w.worker("i-2", "a", false)}
+				reportAll(ks, a, 4)
+				for i := range 12 {
+					switch {
+					case trouble == "answers lost" && i%2 == 0:
+						w.store.Lose(touches(store.ProgressPrefix))
+					case trouble == "leader crashes" && i%4 == 3:
+						a.crash()
+						a = w.start("n0")
+						reportAll(ks, a, 3)
+					default:
+						w.store.Lose(nil)
+					}
+					exitAll(ks)
+					for range 20 {
+						for _, k := range ks {
+							k.report(a)
+						}
+						time.Sleep(100 * time.Millisecond)
+						on := w.doneOnRecord(s.ID)
+						for task := range was {
+							if !on[task] {
+								w.t.Fatalf("round %d: task %d was done and is not on record", i, task)
+							}
+						}
+						was = on
+					}
+				}
+				if len(was) < before-before/7+1000 {
+					w.t.Errorf("%d tasks are on record", len(was))
+				}
+				if p, err := w.store.Get(context.Background(), store.ProgressKey(s.ID, 0)); err != nil || len(p.Value) > 1<<10 {
+					w.t.Errorf("the long record was never written again: %d bytes, %v", len(p.Value), err)
+				}
+				w.neverTooLarge()
+			})
+		})
+	}
+}
+
+// The limits change while jobs run and while a leader takes over; what keeps to
+// both is never refused.
+func TestLimitsChange(t *testing.T) {
+	from, to := limits{20, 16, 25}, limits{5, 1, 6}
+	for _, when := range []string{"while jobs run", "during a takeover"} {
+		t.Run(when, func(t *testing.T) {
+			play(t, func(w *world) {
+				w.teams[0].CPUs, w.teams[0].CPUsMax = 100, 200
+				w.state = to.settings() // the smaller of both
+				w.enforce(from)
+				w.oldSheet(store.MachinePrefix+"0-1", 24)
+				a := w.start("n0")
+				var ks []*worker
+				for i := range 26 {
+					ks = append(ks, w.worker(fmt.Sprintf("i-%06d", i), "a", false))
+				}
+				reportAll(ks, a, 8)
+				w.submit(a, spec("job-1", 80))
+				reportAll(ks, a, 4)
+				exitAll(ks[:10])
+				if when == "during a takeover" {
+					a.crash()
+					w.enforce(to)
+					a = w.start("n0")
+				} else {
+					w.enforce(to)
+				}
+				w.dead.Store(ks[3].rep.Machine, true)
+				ks = slices.Delete(ks, 3, 4)
+				reportAll(ks, a, 40)
+				for range 4 {
+					exitAll(ks)
+					reportAll(ks, a, 6)
+				}
+				w.same("phase", w.phase(a, "job-1"), "done")
+				w.same("on the roster", len(w.roster()), 25)
+				if w.store.Has(store.MachinePrefix + "0-1") {
+					w.t.Error("the large sheet is still there")
+				}
+				w.neverTooLarge()
+			})
+		})
+	}
+}
--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -41,7 +41,11 @@
 	durable   *bitset.BitSet
 	// chunks are the progress records written, by their first task.
 	chunks map[int]bool
-	dirty  bool
+	// extents is how many tasks they may speak of, and moving what has to be on
+	// record elsewhere before one is written over by a shorter one.
+	extents map[int]int
+	moving  map[int]*bitset.BitSet
+	dirty   bool
 
 	runs      jobRuns
 	zones     map[string]int
--- a/internal/controller/recorder.go
+++ b/internal/controller/recorder.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/bits-and-blooms/bitset"
 	"golang.org/x/time/rate"
 
 	"example.org/ivytrestle/internal/api"
@@ -20,6 +22,7 @@
 	limiter  *rate.Limiter
 	maxOps   int
 	maxBytes int
+	// perChunk is how many tasks a progress record holds; 0: none is written.
 	perChunk int
 
 	finishing []*job
@@ -31,6 +34,7 @@
 	torn      []*sheet
 	sheets    int
 	perSheet  int
+	sheetRoom int
 	nextSheet time.Time
 	busy      bool
 	// unsettled are the jobs whose end is to be read, one at a time.
@@ -50,10 +54,11 @@
 	records := lim.WriteRPS * store.RecordShare
 	// A burst of records leaves room for submissions in the service's own.
 	w.limiter = rate.NewLimiter(rate.Limit(records), max(2, min(lim.TxnOps, int(records))))
-	w.maxBytes = 48 << 10
-	w.perSheet = max(1, int(lim.ValueKB*1024/2)/sheetLine)
+	w.maxBytes = store.MaxTxnBytes * 3 / 4
+	w.sheetRoom = min(int(lim.ValueKB*1024), w.maxBytes)
+	w.perSheet = max(1, w.sheetRoom/2/sheetLine)
 	// The bit set is written as base64; half the value's size leaves room.
-	w.perChunk = int(lim.ValueKB*1024/2) * 8
+	w.perChunk = w.sheetRoom / 2 * 8
 }
 
 func (w *recorder) finish(j *job) {
@@ -137,7 +142,15 @@
 	}
 	w.enrolling = slices.DeleteFunc(w.enrolling, func(m *machine) bool { return m.gone })
 	for len(w.enrolling) > 0 && len(b.txn.Ops) < allowed && b.bytes < w.maxBytes {
-		n := min(w.perSheet, len(w.enrolling))
+		n, size := w.fitting(w.enrolling)
+		if n == 0 {
+			w.unfit(w.enrolling[0])
+			w.enrolling = w.enrolling[1:]
+			continue
+		}
+		if len(b.txn.Ops) > 0 && b.bytes+size > w.maxBytes {
+			break
+		}
 		b.sheet(w.newSheet(w.enrolling[:n]))
 		w.enrolling = w.enrolling[n:]
 	}
@@ -157,7 +170,11 @@
 
 // addProgress adds the done tasks of changed jobs.
 func (w *recorder) addProgress(b *batch, allowed int) {
-	for len(w.dirty) > 0 && len(b.txn.Ops) < allowed && b.bytes < w.maxBytes {
+	if w.perChunk == 0 {
+		return
+	}
+	size := (w.perChunk/8+2)/3*4 + 100
+	for len(w.dirty) > 0 && len(b.txn.Ops) < allowed && (b.bytes+size < w.maxBytes || len(b.txn.Ops) == 0) {
 		j := w.dirty[0]
 		if !j.dirty || j.finishing || j.over {
 			w.dirty = w.dirty[1:]
@@ -176,6 +193,7 @@
 		// node has dropped the key guarded on here.
 		b.txn.Guards = append(b.txn.Guards, store.Guard{Key: store.ActivePrefix + j.spec.ID, Mark: j.mark})
 		j.chunks[first] = true
+		j.holds(first, 8*len(words))
 		b.progressed = append(b.progressed, progressed{j, first, words})
 		// One record of a job at a time: the next is looked for when this
 		// one is on record.
@@ -184,14 +202,52 @@
 	}
 }
 
-// unrecorded finds the first part of a job with done tasks not on record.
+// unrecorded finds the first part of a job with done tasks not on record whose
+// record may be written.
 func (j *job) unrecorded(per int) (first int, ok bool) {
-	missing := j.done.Difference(j.durable)
-	t, ok := missing.NextSet(0)
-	if !ok {
-		return 0, false
+	for from := 0; per > 0; from = first + per {
+		t, ok := j.done.Difference(j.durable).NextSet(uint(from))
+		if !ok {
+			return 0, false
+		}
+		if first = int(t) / per * per; j.replaceable(first, per) {
+			return first, true
+		}
 	}
-	return int(t) / per * per, true
+	return 0, false
+}
+
+// holds takes in that a record may be in the store that begins at first and
+// speaks of so many tasks.
+func (j *job) holds(first, tasks int) {
+	if j.extents == nil {
+		j.extents = map[int]int{}
+	}
+	j.extents[first] = max(j.extents[first], tasks)
+}
+
+// replaceable tells whether the record that begins at first may be written with
+// per tasks. One written under larger limits speaks of more: written over, the
+// tasks beyond would be done no more for the next leader. They are first put on
+// record under keys of their own, which all lie further on.
+func (j *job) replaceable(first, per int) bool {
+	extent := j.extents[first]
+	if extent <= per {
+		return true
+	}
+	moving := j.moving[first]
+	if moving == nil {
+		moving = bitset.New(uint(j.spec.Tasks))
+		for t, ok := j.durable.NextSet(uint(first + per)); ok && t < uint(first+extent); t, ok = j.durable.NextSet(t + 1) {
+			moving.Set(t)
+		}
+		j.durable.InPlaceDifference(moving)
+		if j.moving == nil {
+			j.moving = map[int]*bitset.BitSet{}
+		}
+		j.moving[first] = moving
+	}
+	return moving.DifferenceCardinality(j.durable) == 0
 }
 
 func (j *job) doneBytes(first, per int) []byte {
@@ -210,12 +266,12 @@
 		panic(err) // records hold only plain values
 	}
 	b.txn.Ops = append(b.txn.Ops, store.Op{Put: key, Value: json.RawMessage(raw)})
-	b.bytes += len(raw) + 100
+	b.bytes += len(raw) + 2*len(key) + 100
 }
 
 func (b *batch) delete(key string) {
 	b.txn.Ops = append(b.txn.Ops, store.Op{Delete: key})
-	b.bytes += 100
+	b.bytes += 2*len(key) + 100
 }
 
 type recordedMsg struct {
@@ -234,6 +290,10 @@
 	w.busy = false
 	now := time.Now()
 	switch {
+	case errors.Is(m.err, store.ErrMalformed):
+		w.waitUntil = now.Add(250 * time.Millisecond)
+		w.again(m.b)
+		w.lower(m.b, now)
 	case m.err != nil:
 		w.waitUntil = now.Add(250 * time.Millisecond)
 		// If it was carried out all the same, or is yet to be, the next try
@@ -274,6 +334,38 @@
 	}
 }
 
+// lower takes in that a batch was refused for good, although it kept to the
+// limits as this node knows them: the same again would be refused again.
+func (w *recorder) lower(b *batch, now time.Time) {
+	log := w.r.c.Log
+	log.Error("records refused as too large", "changes", len(b.txn.Ops), "bytes", b.bytes)
+	switch {
+	case len(b.txn.Ops) > 2:
+		w.maxOps = max(2, len(b.txn.Ops)/2)
+	case len(b.sheets) > 0 && len(b.sheets[0].members) > 1:
+		w.perSheet = max(1, len(b.sheets[0].members)/2)
+	case len(b.sheets) > 0 && b.sheets[0].replaces != nil:
+		w.keepTorn(b.sheets[0].replaces)
+	case len(b.sheets) > 0:
+		m := b.sheets[0].members[0]
+		w.enrolling = slices.DeleteFunc(w.enrolling, func(o *machine) bool { return o == m })
+		w.unfit(m)
+	case len(b.progressed) > 0:
+		// Below eight tasks nothing is left to halve: what is done is then
+		// known to this leader only.
+		w.perChunk = w.perChunk / 16 * 8
+	default:
+		w.waitUntil = now.Add(5 * time.Second) // an end: it has no size to lower
+	}
+}
+
+// unfit gives up a machine whose entry no sheet can hold: the next leader would
+// not know of it, so it is never given a task.
+func (w *recorder) unfit(m *machine) {
+	w.r.c.Log.Error("machine's entry does not fit the roster", "machine", m.name)
+	w.r.leave(m, "does not fit the roster")
+}
+
 // recorded takes in what is now on record.
 func (w *recorder) recorded(b *batch) {
 	r := w.r
@@ -282,6 +374,8 @@
 	}
 	w.written(b)
 	for _, p := range b.progressed {
+		p.j.extents[p.first] = 8 * len(p.words)
+		delete(p.j.moving, p.first)
 		for i, by := range p.words {
 			for bit := range 8 {
 				if by&(1<<bit) != 0 {
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/config"
 	"example.org/ivytrestle/internal/election"
 	"example.org/ivytrestle/internal/peer"
 	"example.org/ivytrestle/internal/relay"
@@ -57,6 +58,13 @@
 	busy        bool
 	next        time.Time
 	machines    map[string]*relayed
+	// halved is how often a batch was refused as too large.
+	halved int
+}
+
+// relayRoom is the size of a record, of so many in a transaction.
+func relayRoom(lim config.StateLimits, parts int) int {
+	return min(int(lim.ValueKB*1024), store.MaxTxnBytes*3/4/parts)
 }
 
 // relayed is one machine whose reports are relayed.
@@ -158,11 +166,14 @@
 	}
 	u.batch++
 	up := &peer.RelayUp{Incarnation: u.incarnation, Batch: u.batch, Got: u.got}
-	size := c.Settings.Site.State.ValueKB * 1024
-	room := int(size*relayParts) * relayRaw
+	lim := c.Settings.Site.State
+	most := min(relayParts, lim.TxnOps)
+	size := max(relayRoom(lim, most)>>u.halved, 256)
+	room := size * most * relayRaw
+	var told []*relayed
 	for _, m := range u.oldestFirst() {
 		if m.outcome != nil {
-			m.toldIn = u.batch
+			told = append(told, m)
 			up.Outcomes = append(up.Outcomes, m.outcome)
 			up.Term = m.term
 		}
@@ -174,15 +185,24 @@
 	if carrying {
 		up.Term = k.term
 	}
-	parts, err := relay.Pack(up, u.batch, relayParts, int(size))
-	for errors.Is(err, relay.ErrTooLarge) && len(up.Reports) > 0 {
-		up.Reports = up.Reports[:len(up.Reports)/2]
-		parts, err = relay.Pack(up, u.batch, relayParts, int(size))
+	parts, err := relay.Pack(up, u.batch, most, size)
+	for errors.Is(err, relay.ErrTooLarge) && len(up.Reports)+len(up.Outcomes) > 0 {
+		// Outcomes are told until they are confirmed: what is left out comes
+		// with a later batch.
+		if len(up.Reports) > 0 {
+			up.Reports = up.Reports[:len(up.Reports)/2]
+		} else {
+			up.Outcomes = up.Outcomes[:len(up.Outcomes)/2]
+		}
+		parts, err = relay.Pack(up, u.batch, most, size)
 	}
 	if err != nil {
 		c.Log.Error("relay", "err", err)
 		return
 	}
+	for _, m := range told[:len(up.Outcomes)] {
+		m.toldIn = u.batch
+	}
 	for _, rep := range up.Reports {
 		m := u.machines[rep.Machine]
 		m.dirty, m.sentAt = false, now
@@ -199,16 +219,25 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), relayWait)
 		defer cancel()
-		if _, err := c.Store.Txn(ctx, txn); err != nil {
+		_, err := c.Store.Txn(ctx, txn)
+		if err != nil {
 			c.Log.Debug("reports not relayed", "err", err)
 		}
-		c.send(context.Background(), relaySentMsg{})
+		c.send(context.Background(), relaySentMsg{errors.Is(err, store.ErrMalformed)})
 	}()
 }
 
-type relaySentMsg struct{}
+type relaySentMsg struct{ tooLarge bool }
 
-func (relaySentMsg) apply(c *Controller) { c.up.busy = false }
+// The reports of a batch that was refused come again with the next, which is
+// half as large.
+func (m relaySentMsg) apply(c *Controller) {
+	c.up.busy = false
+	if m.tooLarge {
+		c.Log.Error("reports refused as too large")
+		c.up.halved = min(c.up.halved+1, 8)
+	}
+}
 
 // forget drops the machines about which nothing is left to tell.
 func (u *relayUp) forget(now time.Time) {
--- a/internal/controller/relaydown.go
+++ b/internal/controller/relaydown.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -30,6 +31,12 @@
 	busy             bool
 	// pending are the machines whose orders have no outcome yet.
 	pending map[string]*relayedOrders
+	// halved is how often a batch was refused as too large, and unsure is set
+	// if the present one may have been written all the same.
+	halved int
+	unsure bool
+	// given are the machines with orders in the last batch.
+	given []string
 }
 
 type relayedOrders struct {
@@ -204,12 +211,32 @@
 	}
 }
 
+// cut takes back the latter half of a machine's orders.
+func (p *relayedOrders) cut(r *reign, o *peer.RelayOrders) {
+	o.Orders = o.Orders[:len(o.Orders)/2]
+	back := &relayedOrders{}
+	p.starts = slices.DeleteFunc(p.starts, func(a *attempt) bool {
+		left := slices.ContainsFunc(o.Orders, func(o *peer.Order) bool { return o.Verb == api.VerbStart && attemptKey{o.Task, o.Attempt} == a.key })
+		if !left {
+			back.starts = append(back.starts, a)
+		}
+		return !left
+	})
+	back.settled(r, 0)
+}
+
 // writeDown writes the answer. What does not fit the record is taken back.
 func (r *reign) writeDown(name string, node *relayNode, answer *peer.RelayDown, fresh bool) {
-	size := int(r.c.Settings.Site.State.ValueKB * 1024)
+	size := max(relayRoom(r.c.Settings.Site.State, 1)>>node.halved, 256)
 	if fresh {
 		parts, err := relay.Pack(answer, answer.Batch, 1, size)
 		for errors.Is(err, relay.ErrTooLarge) && len(answer.Orders) > 0 {
+			if one := answer.Orders[0]; len(answer.Orders) == 1 && len(one.Orders) > 1 {
+				// Taken back whole, they would be the same again next time.
+				node.pending[one.Machine].cut(r, one)
+				parts, err = relay.Pack(answer, answer.Batch, 1, size)
+				continue
+			}
 			cut := answer.Orders[len(answer.Orders)*3/4:]
 			answer.Orders = answer.Orders[:len(answer.Orders)*3/4]
 			for _, o := range cut {
@@ -222,7 +249,10 @@
 			r.c.Log.Error("relay", "err", err)
 			return
 		}
-		node.last = parts
+		node.last, node.unsure, node.given = parts, false, nil
+		for _, o := range answer.Orders {
+			node.given = append(node.given, o.Machine)
+		}
 	}
 	if len(node.last) == 0 {
 		return
@@ -234,20 +264,43 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, relayWait)
 		defer cancel()
-		if _, err := r.c.Store.Txn(ctx, txn); err != nil {
+		_, err := r.c.Store.Txn(ctx, txn)
+		if err != nil {
 			r.c.Log.Debug("relayed orders not written", "err", err)
 		}
-		r.post(relayWrittenMsg{r, name})
+		r.post(relayWrittenMsg{r, name, err})
 	}()
 }
 
 type relayWrittenMsg struct {
 	r    *reign
 	node string
+	err  error
 }
 
 func (m relayWrittenMsg) apply(c *Controller) {
-	if c.reign == m.r {
-		m.r.down.nodes[m.node].busy = false
+	if c.reign != m.r {
+		return
+	}
+	node := m.r.down.nodes[m.node]
+	node.busy = false
+	if !errors.Is(m.err, store.ErrMalformed) {
+		node.unsure = true
+		return
+	}
+	c.Log.Error("relayed orders refused as too large", "node", m.node)
+	node.halved = min(node.halved+1, 8)
+	if len(node.last) == 0 || node.unsure {
+		return // it may be known to the node: its outcome, or giveUp, decides
+	}
+	// It was never written, so nothing of it was handed out: it is as if the
+	// batch had not been.
+	for _, machine := range node.given {
+		if p := node.pending[machine]; p != nil {
+			p.settled(m.r, 0)
+			delete(node.pending, machine)
+		}
 	}
+	node.batch--
+	node.last = nil
 }
--- a/internal/controller/roster.go
+++ b/internal/controller/roster.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
@@ -25,6 +26,9 @@
 	// that is left.
 	replaces *sheet
 	perhaps  []string
+	// part is set if it takes over only some of those on the sheet that it
+	// replaces, which stays until the rest of them is on record elsewhere too.
+	part bool
 }
 
 // sheetLine is about how long a machine's entry is, in bytes.
@@ -35,12 +39,34 @@
 	return &sheet{key: fmt.Sprintf("%s%d-%d", store.MachinePrefix, w.r.term.Number, w.sheets), members: slices.Clone(members)}
 }
 
+// fitting is how many of the first machines a new sheet holds, and its size.
+func (w *recorder) fitting(members []*machine) (n, size int) {
+	const frame = 32 // of a sheet, beside its entries
+	size = frame
+	for n < min(w.perSheet, len(members)) {
+		raw, err := json.Marshal(members[n].entry())
+		if err != nil {
+			panic(err) // records hold only plain values
+		}
+		if size+len(raw)+1 > w.sheetRoom {
+			break
+		}
+		n, size = n+1, size+len(raw)+1
+	}
+	return n, size
+}
+
+// entry is a machine's entry on a sheet.
+func (m *machine) entry() store.MachineRecord {
+	return store.MachineRecord{Name: m.name, Addr: m.addr, Type: m.typ, Zone: m.zone, Spot: m.spot,
+		CPUs: m.cpus, GPUs: m.gpus, MemoryGB: m.memory}
+}
+
 // sheet adds a sheet to a batch.
 func (b *batch) sheet(s *sheet) {
 	var rec store.RosterRecord
 	for _, m := range s.members {
-		rec.Machines = append(rec.Machines, store.MachineRecord{Name: m.name, Addr: m.addr, Type: m.typ, Zone: m.zone, Spot: m.spot,
-			CPUs: m.cpus, GPUs: m.gpus, MemoryGB: m.memory})
+		rec.Machines = append(rec.Machines, m.entry())
 	}
 	b.put(s.key, rec)
 	b.sheets = append(b.sheets, s)
@@ -66,7 +92,9 @@
 const mendEvery = time.Second
 
 // mend replaces a torn sheet by one with those who are left, and drops those on
-// which nobody is left.
+// which nobody is left. A sheet written under larger limits may hold more than a
+// new one: it then stays until all of them are on new ones, one after the other.
+// Whatever is cut off between, each machine is on one of them.
 func (w *recorder) mend(b *batch, allowed int, now time.Time) {
 	w.torn = slices.DeleteFunc(w.torn, func(s *sheet) bool {
 		if len(s.members) > 0 || len(b.txn.Ops) >= allowed {
@@ -78,13 +106,31 @@
 	if len(w.torn) == 0 || now.Before(w.nextSheet) || len(b.txn.Ops)+2 > allowed || b.bytes >= w.maxBytes {
 		return
 	}
-	w.nextSheet = now.Add(mendEvery)
 	s := w.torn[0]
+	n, size := w.fitting(s.members)
+	if n == 0 {
+		w.keepTorn(s)
+		return
+	}
+	if len(b.txn.Ops) > 0 && b.bytes+size > w.maxBytes {
+		return
+	}
+	w.nextSheet = now.Add(mendEvery)
 	w.torn = w.torn[1:]
-	next := w.newSheet(s.members)
+	next := w.newSheet(s.members[:n])
 	next.replaces = s
 	b.sheet(next)
-	b.replace(s, allowed)
+	if next.part = n < len(s.members); !next.part {
+		b.replace(s, allowed)
+	}
+}
+
+// keepTorn leaves a sheet as it is that no new one can replace, until another of
+// its machines goes.
+func (w *recorder) keepTorn(s *sheet) {
+	w.r.c.Log.Error("sheet of the roster cannot be written again", "key", s.key)
+	s.torn = false
+	w.torn = slices.DeleteFunc(w.torn, func(o *sheet) bool { return o == s })
 }
 
 // replace drops a sheet in a batch. What finds no place stays behind.
@@ -104,6 +150,9 @@
 	for _, s := range b.sheets {
 		if s.replaces != nil {
 			s.replaces.perhaps = append(s.replaces.perhaps, s.key)
+			if s.part {
+				w.torn = append(w.torn, s.replaces)
+			}
 			continue
 		}
 		// Nothing was started on these machines yet.
@@ -116,7 +165,11 @@
 // written takes in that a batch's sheets are on record.
 func (w *recorder) written(b *batch) {
 	for _, s := range b.sheets {
-		s.replaces = nil
+		if old := s.replaces; s.part {
+			old.members = slices.DeleteFunc(old.members, func(m *machine) bool { return slices.Contains(s.members, m) })
+			w.torn = append(w.torn, old)
+		}
+		s.replaces, s.part = nil, false
 		for _, m := range slices.Clone(s.members) {
 			m.roster, m.sheet = rosterDurable, s
 			if m.gone {
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -148,6 +148,7 @@
 		return
 	}
 	j.chunks[first] = true
+	j.holds(first, 8*len(rec.Done))
 	for i, b := range rec.Done {
 		for bit := range 8 {
 			if task := first + i*8 + bit; b&(1<<bit) != 0 && task < j.spec.Tasks {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -26,6 +26,13 @@
 // ErrUnknown means that the request may have been, or may yet be, carried out.
 var ErrUnknown = errors.New("state service: outcome unknown")
 
+// ErrMalformed means that the service did not carry the request out and never
+// will: it is malformed, or larger than the service's limits allow.
+var ErrMalformed = errors.New("state service: malformed or too large")
+
+// MaxTxnBytes bounds a transaction in all, as the service counts it.
+const MaxTxnBytes = 64 << 10
+
 // ErrNoLease means that the lease has ended.
 var ErrNoLease = errors.New("state service: no such lease")
 
@@ -266,6 +273,8 @@
 		return nil
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return fmt.Errorf("%w: status %d", ErrRefused, status)
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		return fmt.Errorf("%w: status %d", ErrMalformed, status)
 	}
 	return fmt.Errorf("%w: unexpected status %d", ErrUnknown, status)
 }
@@ -308,6 +317,9 @@
 	}
 	if out != nil && len(raw) > 0 && resp.StatusCode < 500 {
 		if err := json.Unmarshal(raw, out); err != nil {
+			if errors.Is(expect(resp.StatusCode, http.StatusOK), ErrMalformed) {
+				return resp.StatusCode, nil // whatever it says, nothing was done
+			}
 			return 0, fmt.Errorf("%w: malformed answer: %w", ErrUnknown, err)
 		}
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -59,6 +59,9 @@
 		{"over the rate", &script{status: 429, body: `{}`}, ErrRefused},
 		{"outage", &script{status: 503, body: `trouble`}, ErrRefused},
 		{"lease ended", &script{status: 400, body: `{"error":"no such lease"}`}, ErrNoLease},
+		{"too large", &script{status: 400, body: `{"error":"value too large"}`}, ErrMalformed},
+		{"too large, without a word", &script{status: 400}, ErrMalformed},
+		{"too large, in other words", &script{status: 413, body: `too large`}, ErrMalformed},
 		{"malformed", &script{status: 200, body: `<html>`}, ErrUnknown},
 		{"reset", &script{err: io.ErrUnexpectedEOF}, ErrUnknown},
 		{"anything else", &script{status: 418, body: `{}`}, ErrUnknown},
@@ -149,3 +152,26 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// What the service will never carry out is not asked for again unchanged.
+func TestTooLargeIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		for _, c := range []struct {
+			status int
+			want   error
+			most   int
+		}{{400, ErrMalformed, 1}, {503, ErrRefused, 100}} {
+			asked := 0
+			err := retry(ctx, func() error {
+				asked++
+				_, err := scripted(&script{status: c.status, body: `{"error":"?"}`}).Txn(ctx, Txn{Ops: []Op{{Put: "a", Value: 1}}})
+				return err
+			})
+			if !errors.Is(err, c.want) || asked > c.most || (c.most > 1 && asked < 3) {
+				t.Errorf("%d: asked %d times, %v", c.status, asked, err)
+			}
+		}
+	})
+}
--- a/internal/store/storetest/storetest.go
+++ b/internal/store/storetest/storetest.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -42,6 +43,10 @@
 	lose func(store.Txn) bool
 	// blind keeps watches from seeing anything.
 	blind bool
+	// valueBytes and ops are the service's limits; 0: none. tooLarge tells what
+	// was beyond them.
+	valueBytes, ops int
+	tooLarge        []string
 }
 
 // New makes an empty store.
@@ -105,6 +110,57 @@
 	return len(f.held)
 }
 
+// SetLimits has the service refuse values of more bytes, and transactions of
+// more changes or of more than four times as many conditions, as the real one
+// does. What is stored stays.
+func (f *Fake) SetLimits(valueBytes, ops int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.valueBytes, f.ops = valueBytes, ops
+}
+
+// TooLarge tells what was refused for its size, and why.
+func (f *Fake) TooLarge() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.tooLarge)
+}
+
+// check refuses what is beyond the limits, whatever its conditions.
+func (f *Fake) check(txn store.Txn) error {
+	if f.ops == 0 {
+		return nil
+	}
+	var why string
+	if len(txn.Ops) > f.ops {
+		why = fmt.Sprintf("%d changes", len(txn.Ops))
+	}
+	if len(txn.Guards) > 4*f.ops {
+		why = fmt.Sprintf("%d conditions", len(txn.Guards))
+	}
+	for _, op := range txn.Ops {
+		raw, err := json.Marshal(op.Value)
+		if err != nil {
+			return err
+		}
+		if op.Put != "" && len(raw) > f.valueBytes {
+			why = fmt.Sprintf("%s of %d bytes", op.Put, len(raw))
+		}
+	}
+	all, err := json.Marshal(txn)
+	if err != nil {
+		return err
+	}
+	if len(all) > store.MaxTxnBytes {
+		why = fmt.Sprintf("%d bytes in all", len(all))
+	}
+	if why == "" {
+		return nil
+	}
+	f.tooLarge = append(f.tooLarge, why)
+	return fmt.Errorf("%w: %s", store.ErrMalformed, why)
+}
+
 // Has tells whether a key exists.
 func (f *Fake) Has(key string) bool {
 	f.mu.Lock()
@@ -174,6 +230,9 @@
 }
 
 func (f *Fake) apply(txn store.Txn) (store.Result, error) {
+	if err := f.check(txn); err != nil {
+		return store.Result{}, err
+	}
 	res := store.Result{Ring: f.ring}
 	for _, g := range txn.Guards {
 		if f.keys[g.Key].mark != g.Mark {
