--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -11,6 +11,7 @@
 
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/config"
+	"example.org/ivytrestle/internal/election"
 	"example.org/ivytrestle/internal/store"
 )
 
@@ -362,3 +363,286 @@
 		})
 	}
 }
+
+// Many ends at once, with names as long as they may come: batches keep to the
+// changes of a transaction, sheets to the size of their entries.
+func TestManyChangesAtOnce(t *testing.T) {
+	for _, l := range small {
+		t.Run(l.String(), func(t *testing.T) {
+			play(t, func(w *world) {
+				w.teams[0].CPUs, w.teams[0].CPUsMax = 100, 200
+				w.state = l.settings()
+				w.enforce(l)
+				a := w.start("n0")
+				var ks []*worker
+				for i := range 24 {
+					ks = append(ks, w.worker(fmt.Sprintf("i-%06d-%s", i, strings.Repeat("n", 10*i)), "a", false))
+				}
+				reportAll(ks, a, 30)
+				w.same("on the roster", len(w.roster()), 24)
+				for i := range 60 {
+					w.submit(a, spec(fmt.Sprintf("job-%d", i), 1))
+				}
+				reportAll(ks, a, 10)
+				exitAll(ks)
+				reportAll(ks, a, 90)
+				w.same("still active", w.keysUnder(store.ActivePrefix), []string(nil))
+				w.same("ends", len(w.keysUnder(store.FinalPrefix)), 60)
+				w.neverTooLarge()
+			})
+		})
+	}
+}
+
+// The service may be smaller than the settings say. What it refuses for its size
+// does not come again unchanged: batches, sheets and progress records shrink, and
+// work goes on.
+func TestRefusedForSize(t *testing.T) {
+	for _, real := range []limits{{2, 1, 25}, {3, 1, 25}, {12, 1, 25}} {
+		t.Run(real.String(), func(t *testing.T) {
+			play(t, func(w *world) {
+				w.teams[0].CPUs, w.teams[0].CPUsMax = 100, 200
+				w.state = limits{20, 16, 100}.settings()
+				w.enforce(real)
+				a := w.start("n0")
+				var ks []*worker
+				for i := range 24 {
+					ks = append(ks, w.worker(fmt.Sprintf("i-%06d", i), "a", false))
+				}
+				reportAll(ks, a, 8)
+				w.same("on the roster", len(w.roster()), 24)
+				w.submit(a, spec("job-1", 90))
+				for i := range 30 {
+					w.submit(a, spec(fmt.Sprintf("small-%d", i), 1))
+				}
+				for range 4 {
+					reportAll(ks, a, 8)
+					exitAll(ks)
+				}
+				reportAll(ks, a, 20)
+				w.same("still active", w.keysUnder(store.ActivePrefix), []string(nil))
+				if n := len(w.store.TooLarge()); n == 0 || n > 12 {
+					w.t.Errorf("refused for size %d times: %v", n, w.store.TooLarge())
+				}
+			})
+		})
+	}
+}
+
+// A progress record that is refused for its size comes again with fewer tasks.
+func TestProgressRefusedForSize(t *testing.T) {
+	play(t, func(w *world) {
+		w.state = limits{20, 16, 100}.settings()
+		w.store.SetLimits(1<<10, 20)
+		a := w.start("n0")
+		ks := []*worker{w.worker("i-1", "a", false)}
+		reportAll(ks, a, 3)
+		s := spec("job-1", 40000)
+		s.CPUs, s.MemoryGB = 0.001, 0.001
+		w.submit(a, s)
+		for range 4 {
+			reportAll(ks, a, 3)
+			exitAll(ks)
+		}
+		reportAll(ks, a, 8)
+		done := 0
+		a.look(func(c *Controller) { done = c.reign.jobs["job-1"].doneCount })
+		if on := w.doneOnRecord("job-1"); len(on) != done || done < 800 {
+			w.t.Errorf("%d tasks are on record, %d done", len(on), done)
+		}
+		if n := len(w.store.TooLarge()); n == 0 || n > 8 {
+			w.t.Errorf("refused for size %d times: %v", n, w.store.TooLarge())
+		}
+	})
+}
+
+// A machine whose entry fits no record is never given a task, since the next
+// leader would not know of it, and goes back; the others are not held up.
+func TestEntryFitsNoSheet(t *testing.T) {
+	play(t, func(w *world) {
+		l := limits{5, 1, 25}
+		w.state = l.settings()
+		w.enforce(l)
+		a := w.start("n0")
+		long := w.worker(strings.Repeat("i", 1100), "a", false)
+		ks := []*worker{long, w.worker("i-2", "a", false)}
+		reportAll(ks, a, 3)
+		w.submit(a, spec("job-1", 8))
+		reportAll(ks, a, 6)
+		w.same("on it", long.running(), []string(nil))
+		w.same("on the other", len(ks[1].running()), 4)
+		w.same("on the roster", w.roster(), []string{"i-2"})
+		w.same("given back", w.cloud.gone(long.rep.Machine), true)
+		w.neverTooLarge()
+	})
+}
+
+// keptBy has a node publish machines, and tells which of them a leader takes to
+// be kept.
+func keptBy(w *world, l limits, hosts []string) (kept int) {
+	w.state = l.settings()
+	w.enforce(l)
+	a := w.start("n0")
+	a.look(func(c *Controller) {
+		for _, name := range hosts {
+			c.reign.addMachine(name, "small", "a", false, time.Now())
+		}
+	})
+	e, err := w.store.Get(context.Background(), election.TermKey)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	b := New(Config{Settings: &config.Settings{Node: "n1", Peers: []config.Peer{{Node: "n0"}, {Node: "n2"}}, Site: config.SiteInfo{State: w.state}},
+		Store: w.store, Log: a.Log})
+	b.publishKept(context.Background(), hosts, 1, e.Mark)
+	a.look(func(c *Controller) {
+		c.reign.keptRead = time.Time{}
+		c.reign.readKept(time.Now())
+	})
+	time.Sleep(100 * time.Millisecond)
+	a.look(func(c *Controller) {
+		for _, m := range c.reign.machines {
+			if m.kept.After(time.Now()) {
+				kept++
+			}
+		}
+	})
+	return kept
+}
+
+// A list of kept machines that does not fit one record goes on in further ones,
+// which leaders of any version read; no more are written than they read.
+func TestKeptMachinesFitRecords(t *testing.T) {
+	names := func(n int) (hosts []string) {
+		for i := range n {
+			hosts = append(hosts, fmt.Sprintf("i-%06d", i))
+		}
+		return hosts
+	}
+	for _, l := range small {
+		t.Run(l.String(), func(t *testing.T) {
+			play(t, func(w *world) {
+				w.same("kept", keptBy(w, l, names(300)), 300)
+				w.neverTooLarge()
+			})
+		})
+	}
+	play(t, func(w *world) {
+		// One too long for any record does not hold up the others.
+		w.same("kept", keptBy(w, limits{3, 1, 8}, append(names(40), strings.Repeat("i", 1100))), 40)
+		w.neverTooLarge()
+	})
+	play(t, func(w *world) {
+		keptBy(w, limits{3, 1, 8}, names(5000))
+		if n := len(w.keysUnder(store.KeepPrefix)); 3*n > 100 || n < 30 {
+			w.t.Errorf("%d records of one node of three", n)
+		}
+		w.neverTooLarge()
+	})
+	play(t, func(w *world) {
+		// The service turns out smaller than the settings say.
+		w.state = limits{12, 8, 25}.settings()
+		a := w.start("n0")
+		w.enforce(limits{12, 1, 25})
+		e, _ := w.store.Get(context.Background(), election.TermKey)
+		a.publishKept(context.Background(), names(200), 1, e.Mark)
+		w.same("records", len(w.keysUnder(store.KeepPrefix)) > 2, true)
+		if n := len(w.store.TooLarge()); n == 0 || n > 3 {
+			w.t.Errorf("refused %d times", n)
+		}
+	})
+}
+
+// Types that do not fit a record are not stored in part: a node that starts
+// without the cloud would tell users that their jobs never run.
+func TestTypesFitARecord(t *testing.T) {
+	for _, c := range []struct {
+		types  int
+		stored bool
+	}{{3, true}, {40, false}} {
+		play(t, func(w *world) {
+			l := limits{3, 1, 8}
+			w.state = l.settings()
+			w.enforce(l)
+			for i := range c.types - 1 {
+				w.cloud.types = append(w.cloud.types, api.MachineType{Name: fmt.Sprintf("type-%d", i), CPUs: 4, MemoryGB: 16, Zones: []string{"a"}})
+			}
+			w.start("n0")
+			time.Sleep(time.Second)
+			w.same("stored", w.store.Has(store.TypesKey), c.stored)
+			w.neverTooLarge()
+		})
+	}
+}
+
+// What is relayed through the store while zones are apart keeps to the limits,
+// and work goes on beyond the cut also with the smallest.
+func TestSmallLimitsBeyondTheCut(t *testing.T) {
+	for _, l := range append([]limits{{2, 1, 8}}, small...) {
+		t.Run(l.String(), func(t *testing.T) {
+			play(t, func(w *world) {
+				w.teams[0].CPUs, w.teams[0].CPUsMax = 16, 16
+				w.state = l.settings()
+				w.enforce(l)
+				_, a, b, _, near, far := w.beyondTheCut()
+				s := spec("job-1", 400)
+				s.CPUs, s.MemoryGB = 0.02, 0.02
+				w.submit(a, s)
+				ran := 0
+				for range 10 {
+					for range 8 {
+						near.report(a)
+						far.report(b)
+						time.Sleep(time.Second)
+					}
+					ran += len(far.running())
+					far.exit(api.CauseDone)
+					near.exit(api.CauseDone)
+				}
+				for range 12 {
+					near.report(a)
+					far.report(b)
+					time.Sleep(time.Second)
+				}
+				w.same("phase", w.phase(a, "job-1"), "done")
+				w.same("ran beyond the cut", ran > 100, true)
+				w.neverTooLarge()
+			})
+		})
+	}
+}
+
+// What is relayed and refused for its size comes again in smaller parts: work goes
+// on beyond the cut although the service is smaller than the settings say.
+func TestRelayRefusedForSize(t *testing.T) {
+	play(t, func(w *world) {
+		w.teams[0].CPUs, w.teams[0].CPUsMax = 16, 16
+		w.state = limits{20, 16, 100}.settings()
+		_, a, b, _, near, far := w.beyondTheCut()
+		w.enforce(limits{20, 1, 100})
+		s := spec("job-1", 700)
+		s.CPUs, s.MemoryGB = 0.01, 0.01
+		s.Image = strings.Repeat("image", 20)
+		w.submit(a, s)
+		ran := 0
+		for range 10 {
+			for range 12 {
+				near.report(a)
+				far.report(b)
+				time.Sleep(time.Second)
+			}
+			ran += len(far.running())
+			near.exit(api.CauseDone)
+			far.exit(api.CauseDone)
+		}
+		for range 12 {
+			near.report(a)
+			far.report(b)
+			time.Sleep(time.Second)
+		}
+		w.same("phase", w.phase(a, "job-1"), "done")
+		if n := len(w.store.TooLarge()); ran < 100 || n == 0 || n > 16 {
+			w.t.Errorf("%d ran beyond the cut, refused for size %d times: %v", ran, n, w.store.TooLarge())
+		}
+	})
+}
