--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -646,3 +646,35 @@
 		}
 	})
 }
+
+// A report that fits no batch does not keep those of other machines from being
+// relayed.
+func TestReportTooLargeToRelay(t *testing.T) {
+	play(t, func(w *world) {
+		l := limits{3, 1, 25}
+		w.state = l.settings()
+		w.enforce(l)
+		_, a, b, _, _, far := w.beyondTheCut()
+		other := w.worker("i-3", "b", false)
+		for i := range mostAttempts {
+			far.rep.Tasks = append(far.rep.Tasks, api.TaskReport{Task: fmt.Sprintf("job-%d/%d", i*i*7919%99991, i), Attempt: uint64(i * 104729), Phase: api.TaskRunning})
+		}
+		heard := func() (n int) {
+			a.look(func(c *Controller) {
+				if m := c.reign.machines["i-3"]; m != nil {
+					n = m.reports
+				}
+			})
+			return n
+		}
+		for range 12 {
+			far.report(b)
+			other.report(b)
+			time.Sleep(time.Second)
+		}
+		if n := heard(); n < 3 {
+			w.t.Errorf("heard %d times of the other machine", n)
+		}
+		w.neverTooLarge()
+	})
+}
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -190,6 +190,11 @@
 		// Outcomes are told until they are confirmed: what is left out comes
 		// with a later batch.
 		if len(up.Reports) > 0 {
+			if len(up.Reports) == 1 {
+				// One that fits no batch must not keep the others from theirs.
+				u.machines[up.Reports[0].Machine].sentAt = now
+				c.Log.Warn("report too large to relay", "machine", up.Reports[0].Machine, "tasks", len(up.Reports[0].Tasks))
+			}
 			up.Reports = up.Reports[:len(up.Reports)/2]
 		} else {
 			up.Outcomes = up.Outcomes[:len(up.Outcomes)/2]
