--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -678,3 +678,61 @@
 		w.neverTooLarge()
 	})
 }
+
+// Where values may be large, the 64 KiB that a transaction has in all are what
+// bounds a batch: sheets of long entries beside each other, progress of many large
+// jobs, ends of many jobs with long names.
+func TestTransactionsFitInAll(t *testing.T) {
+	play(t, func(w *world) {
+		l := limits{400, 128, 2000}
+		w.state = l.settings()
+		w.enforce(l)
+		a := w.start("n0")
+		time.Sleep(time.Second)
+		var txns []store.Txn
+		a.look(func(c *Controller) {
+			r := c.reign
+			rec := &r.recorder
+			for i := range 700 {
+				m := r.addMachine(fmt.Sprintf("i-%06d", i), "small", "a", false, time.Now())
+				m.addr = strings.Repeat("x", 10+i)
+				rec.enroll(m)
+			}
+			for i := range 8 {
+				s := spec(fmt.Sprintf("large-%d", i), api.MaxTasks)
+				r.addRecord(store.ActivePrefix+s.ID, store.ActiveRecord{Spec: *s}, 1)
+				for task := range api.MaxTasks - 1 {
+					r.jobs[s.ID].done.Set(uint(task))
+				}
+				rec.progress(r.jobs[s.ID])
+			}
+			for i := range 500 {
+				s := spec(fmt.Sprintf("%s-%d", strings.Repeat("j", 150), i), 1)
+				r.addRecord(store.ActivePrefix+s.ID, store.ActiveRecord{Spec: *s}, 1)
+				rec.finish(r.jobs[s.ID])
+			}
+			now := time.Now()
+			for range 400 {
+				now = now.Add(time.Second)
+				b := rec.next(now)
+				rec.recorded(b)
+				txns = append(txns, b.txn)
+			}
+			w.same("left", []int{len(rec.enrolling), len(rec.dirty), len(rec.finishing)}, []int{0, 0, 0})
+		})
+		most := 0
+		for _, txn := range txns {
+			raw, err := json.Marshal(txn)
+			if err != nil {
+				w.t.Fatal(err)
+			}
+			most = max(most, len(raw))
+		}
+		if most > store.MaxTxnBytes || most < store.MaxTxnBytes/4 {
+			w.t.Errorf("transactions of up to %d bytes", most)
+		}
+	})
+	if room := relayRoom(limits{400, 128, 2000}.settings(), relayParts); relayParts*(room+200) > store.MaxTxnBytes {
+		t.Errorf("relayed records of %d bytes", room)
+	}
+}
