Relaying leaves room for submissions; a record fits its transaction; the scripted store's limits

Where few changes a second are allowed, relayed reports take no more than the records' part of them. Seen to fail without: that wait, the bound on a record by the transaction, each of the scripted store's limits.

--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -578,7 +578,7 @@
 // What is relayed through the store while zones are apart keeps to the limits,
 // and work goes on beyond the cut also with the smallest.
 func TestSmallLimitsBeyondTheCut(t *testing.T) {
-	for _, l := range append([]limits{{2, 1, 8}}, small...) {
+	for _, l := range append([]limits{{2, 1, 8}, {3, 1, 2}}, small...) {
 		t.Run(l.String(), func(t *testing.T) {
 			play(t, func(w *world) {
 				w.teams[0].CPUs, w.teams[0].CPUsMax = 16, 16
@@ -588,7 +588,12 @@
 				s := spec("job-1", 400)
 				s.CPUs, s.MemoryGB = 0.02, 0.02
 				w.submit(a, s)
-				ran := 0
+				ran, began := 0, time.Now()
+				ch, err := w.store.Watch(context.Background(), store.RelayPrefix+"n1/up/", 0, time.Second)
+				if err != nil {
+					w.t.Fatal(err)
+				}
+				before := len(ch.Events)
 				for range 10 {
 					for range 8 {
 						near.report(a)
@@ -604,6 +609,10 @@
 					far.report(b)
 					time.Sleep(time.Second)
 				}
+				ch, err = w.store.Watch(context.Background(), store.RelayPrefix+"n1/up/", 0, time.Second)
+				if rate := float64(len(ch.Events)-before) / time.Since(began).Seconds(); err != nil || rate > l.writes*store.RecordShare {
+					w.t.Errorf("%v changes a second for relayed reports, %v", rate, err)
+				}
 				w.same("phase", w.phase(a, "job-1"), "done")
 				w.same("ran beyond the cut", ran > 100, true)
 				w.neverTooLarge()
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -220,6 +220,10 @@
 	for _, p := range parts {
 		txn.Ops = append(txn.Ops, store.Op{Put: prefix + "/up/" + strconv.Itoa(p.Index), Value: p})
 	}
+	// Where few changes are allowed, relaying must leave room for submissions.
+	if next := now.Add(config.Seconds(float64(len(parts)) / (lim.WriteRPS * store.RecordShare))); next.After(u.next) {
+		u.next = next
+	}
 	u.busy = true
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), relayWait)
--- a/internal/store/records.go
+++ b/internal/store/records.go
@@ -41,7 +41,7 @@
 	for _, t := range spec.Types {
 		long += len(t) + 3
 	}
-	room := valueKB * 1024
+	room := min(valueKB*1024, MaxTxnBytes-2048) // its keys are in the transaction, too
 	if float64(6*long) < room-1024 {
 		return true // even if every byte is escaped
 	}
--- /dev/null
+++ b/internal/store/storetest/storetest_test.go
@@ -0,0 +1,70 @@
+package storetest
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+
+	"example.org/ivytrestle/internal/store"
+)
+
+// The stand-in refuses what the real service would, and no more: or tests would
+// show nothing.
+func TestLimits(t *testing.T) {
+	ctx := context.Background()
+	ops := func(n int) (out []store.Op) {
+		for range n {
+			out = append(out, store.Op{Delete: "gone"})
+		}
+		return out
+	}
+	value := func(n int) []store.Op { return []store.Op{{Put: "k", Value: strings.Repeat("v", n-2)}} }
+	large := func(n int) (out []store.Op) {
+		for range 3 {
+			out = append(out, value(n)...)
+		}
+		return out
+	}
+	for _, c := range []struct {
+		name       string
+		valueBytes int
+		txn        store.Txn
+		want       error
+	}{
+		{"changes", 100, store.Txn{Ops: ops(3)}, nil},
+		{"too many changes", 100, store.Txn{Ops: ops(4)}, store.ErrMalformed},
+		{"conditions", 100, store.Txn{Guards: make([]store.Guard, 12)}, nil},
+		{"too many conditions", 100, store.Txn{Guards: make([]store.Guard, 13)}, store.ErrMalformed},
+		{"value", 100, store.Txn{Ops: value(100)}, nil},
+		{"too large a value", 100, store.Txn{Ops: value(101)}, store.ErrMalformed},
+		{"too large whatever the conditions", 100, store.Txn{Guards: []store.Guard{{Key: "none", Mark: 7}}, Ops: value(101)}, store.ErrMalformed},
+		{"in all", 1 << 20, store.Txn{Ops: large(21000)}, nil},
+		{"too large in all", 1 << 20, store.Txn{Ops: large(22000)}, store.ErrMalformed},
+	} {
+		f := New()
+		f.SetLimits(c.valueBytes, 3)
+		if _, err := f.Txn(ctx, c.txn); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, err, c.want)
+		}
+		if refused := f.TooLarge(); (len(refused) > 0) != (c.want != nil) {
+			t.Errorf("%s: told %v", c.name, refused)
+		}
+	}
+}
+
+// What is stored when the limits change stays readable.
+func TestLimitsChange(t *testing.T) {
+	ctx := context.Background()
+	f := New()
+	if _, err := f.Txn(ctx, store.Txn{Ops: []store.Op{{Put: "k", Value: strings.Repeat("v", 500)}}}); err != nil {
+		t.Fatal(err)
+	}
+	f.SetLimits(100, 3)
+	if e, err := f.Get(ctx, "k"); err != nil || len(e.Value) != 502 {
+		t.Errorf("%d bytes, %v", len(e.Value), err)
+	}
+	if res, err := f.Txn(ctx, store.Txn{Ops: []store.Op{{Delete: "k"}}}); err != nil || !res.OK || f.Has("k") {
+		t.Errorf("not dropped: %v, %v", res, err)
+	}
+}
