Pipelines: jobs that await others, cancelled with them, ordered by the last deadline

A submission names what was accepted, by a read of the store, or gets 422; it is guarded by the cancel key, so that a cancellation comes before it or finds it. A leader, or the next, cancels what needs a cancelled job in bounded transactions; while nobody leads, whoever reads such a job does.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -293,8 +293,8 @@
 const (
 	// leastValueKB holds the record of one job.
 	leastValueKB = 1.0
-	// leastTxnOps is more than what a cancellation takes.
-	leastTxnOps = 5
+	// leastTxnOps is what a cancellation takes.
+	leastTxnOps = 3
 	// leastSockets are those for the outside services, the other controllers
 	// and a few users and workers.
 	leastSockets = 64
--- a/internal/controller/cancelled.go
+++ b/internal/controller/cancelled.go
@@ -136,6 +136,7 @@
 		if j := c.reign.jobs[id]; j != nil {
 			c.reign.withdraw(j)
 		}
+		c.reign.pipeline.cancelled(id)
 	}
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -243,12 +243,16 @@
 	reason := neverRuns(spec, c.Settings.Site.Teams, types)
 	if reason == "" && !store.Fits(spec, c.Settings.Site.State.ValueKB) {
 		// The state service would refuse it each time the user comes back.
-		reason = "more names of types than a record holds"
+		reason = "more names than a record holds"
 	}
 	if reason != "" {
 		return api.JobState{}, false, &api.NeverRunsError{Reason: reason}
 	}
 	st, created, err := c.records.Accept(ctx, spec, time.Now())
+	var never *store.NeverAcceptedError
+	if errors.As(err, &never) {
+		err = &api.NeverRunsError{Reason: never.Error()}
+	}
 	if err == nil && st.Final() {
 		err = c.send(ctx, finalMsg{st})
 	}
--- /dev/null
+++ b/internal/controller/pipeline_test.go
@@ -0,0 +1,353 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/store"
+)
+
+// after is a job that awaits others.
+func after(id, team string, tasks int, awaits ...string) *api.JobSpec {
+	s := job1(id, team, tasks)
+	s.Awaits = awaits
+	return s
+}
+
+// diamond is a pipeline of two teams: 1, then 2 and 3, then 4, then 5, which awaits
+// 1 as well.
+func (s *stage) diamond(takes time.Duration) {
+	s.order(takes, job1("job-1", "red", 4))
+	s.order(takes, after("job-2", "red", 3, "job-1"))
+	s.order(takes*2, after("job-3", "blue", 2, "job-1"))
+	s.order(takes, after("job-4", "red", 2, "job-2", "job-3"))
+	s.order(takes, after("job-5", "blue", 1, "job-4", "job-1"))
+}
+
+var diamondJobs = []string{"job-1", "job-2", "job-3", "job-4", "job-5"}
+
+// follow tells the history every second what a job is called at both nodes.
+func (s *stage) follow(ids ...string) {
+	for _, id := range ids {
+		go func() {
+			for s.ctx.Err() == nil {
+				for _, name := range s.names {
+					if n := s.node(name); n != nil {
+						asked := time.Now()
+						if p := s.phase(n, id); slices.Contains([]string{"pending", "running", "done", "withdrawn"}, p) && !s.h.toldSince(id, asked) {
+							s.h.told(id, p)
+						}
+					}
+				}
+				pause(s.ctx, time.Second)
+			}
+		}()
+	}
+}
+
+// toldSince tells whether a user was told of a job's cancellation since a question
+// was asked: its answer may be older.
+func (h *history) toldSince(id string, asked time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.jobs[id].withdrawn.Before(asked)
+}
+
+// A pipeline runs in its order whatever happens to the leaders: no task starts
+// before all that its job needs is done on record, also while records are late or
+// their answers are lost.
+func TestPipelineRunsInOrder(t *testing.T) {
+	troubles := map[string]func(s *stage){
+		"none":         func(*stage) {},
+		"ends late":    func(s *stage) { s.store.Hold(touches(store.FinalPrefix)) },
+		"answers lost": func(s *stage) { s.store.Lose(touches(store.FinalPrefix)) },
+	}
+	for name, trouble := range troubles {
+		t.Run(name, func(t *testing.T) {
+			eachChange(t, 0, 16*time.Second, 1700*time.Millisecond, func(t *testing.T, off time.Duration, change func(*stage)) {
+				playStage(t, 4, func(s *stage) {
+					s.diamond(3 * time.Second)
+					s.follow(diamondJobs...)
+					time.Sleep(off)
+					trouble(s)
+					time.Sleep(time.Second)
+					change(s)
+					time.Sleep(3 * time.Second)
+					s.store.Release()
+					s.store.Lose(nil)
+					s.settle(3 * time.Minute)
+					for _, id := range diamondJobs {
+						s.same("end of "+id, s.phase(s.node("n0"), id), api.JobDone)
+					}
+					s.same("begun when done", s.h.begunWhenDone(), []string(nil))
+				})
+			})
+		})
+	}
+}
+
+// A cancellation takes all that needs the job, directly or through others, also when
+// the leader ends in the middle, and jobs that are submitted at that moment at
+// another node. What is done before it and what does not need it goes on.
+func TestCancellationTakesWhatFollows(t *testing.T) {
+	for _, victim := range []string{"job-1", "job-2", "job-4"} {
+		t.Run(victim, func(t *testing.T) {
+			eachChange(t, -600*time.Millisecond, 1200*time.Millisecond, 150*time.Millisecond, func(t *testing.T, off time.Duration, change func(*stage)) {
+				playStage(t, 4, func(s *stage) {
+					s.diamond(8 * time.Second)
+					s.order(2*time.Second, job1("job-9", "blue", 2)) // needs nothing
+					s.follow(append(diamondJobs, "job-6", "job-7")...)
+					time.Sleep(3 * time.Second)
+					if off < 0 {
+						go change(s)
+						time.Sleep(-off)
+						s.cancel(victim)
+					} else {
+						s.cancel(victim)
+						time.Sleep(off)
+						go change(s)
+					}
+					s.order(2*time.Second, after("job-6", "red", 1, victim))
+					s.order(2*time.Second, after("job-7", "blue", 1, "job-6", "job-9"))
+					time.Sleep(45 * time.Second)
+					s.settle(2 * time.Minute)
+					gone := []string{"job-4", "job-5", "job-6", "job-7"}
+					switch victim {
+					case "job-1":
+						gone = append(gone, "job-2", "job-3")
+					case "job-2":
+						gone = append(gone, "job-2")
+					}
+					for _, id := range append(diamondJobs, "job-6", "job-7", "job-9") {
+						want := api.JobDone
+						if slices.Contains(gone, id) || id == victim {
+							want = api.JobWithdrawn
+						}
+						s.same("end of "+id, s.phase(s.node("n0"), id), want)
+					}
+				})
+			})
+		})
+	}
+}
+
+// Submissions that name others: what was never accepted is refused, but not in an
+// outage and not for a job that is known; what is cancelled takes the new job with
+// it, which is accepted all the same; what is done is waited for no more.
+func TestSubmissionsThatAwait(t *testing.T) {
+	play(t, func(w *world) {
+		n := w.start("n0")
+		k := w.worker("i-1", "a", false)
+		w.submit(n, spec("job-1", 1))
+		k.serve(n, 3)
+		k.exit(api.CauseDone)
+		k.serve(n, 4)
+		w.same("first", w.phase(n, "job-1"), api.JobDone)
+		w.submit(n, spec("job-2", 1))
+		w.submit(n, after("job-3", "red", 1, "job-2"))
+		submit := func(id string, awaits ...string) string {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			st, created, err := n.Submit(ctx, after(id, "red", 1, awaits...))
+			var never *api.NeverRunsError
+			switch {
+			case errors.As(err, &never):
+				return "422 " + never.Reason
+			case err != nil:
+				return "503"
+			case !created:
+				return "200 " + st.Phase
+			}
+			return "201 " + st.Phase
+		}
+		w.same("never accepted", submit("job-10", "job-1", "job-99"), "422 awaits job-99, which was never accepted")
+		w.same("nothing stored", w.store.Has(store.ActivePrefix+"job-10"), false)
+		w.same("known, whatever it names", submit("job-3", "job-99"), "200 pending")
+		w.same("all done", submit("job-11", "job-1"), "201 pending")
+		w.same("in any state", submit("job-12", "job-1", "job-2", "job-3"), "201 pending")
+		var many []string
+		for i := range 40 {
+			w.submit(n, spec(fmt.Sprint("job-5", i), 1))
+			many = append(many, fmt.Sprint("job-5", i))
+		}
+		w.same("many", submit("job-13", many...), "201 pending")
+		w.same("many, one of them never", submit("job-14", append(many, "job-98")...), "422 awaits job-98, which was never accepted")
+		if _, err := n.Abort(context.Background(), "job-2"); err != nil {
+			t.Fatal(err)
+		}
+		w.same("names a cancelled one", submit("job-15", "job-2"), "201 withdrawn")
+		w.same("and one that needs it", submit("job-16", "job-12"), "201 withdrawn")
+		time.Sleep(2 * time.Second)
+		for _, id := range []string{"job-3", "job-12", "job-15", "job-16"} {
+			w.same(id, w.phase(n, id), api.JobWithdrawn)
+		}
+		w.same("again", submit("job-15", "job-2"), "200 withdrawn")
+		w.store.SetDown(true)
+		w.same("in an outage", submit("job-17", "job-99"), "503")
+		w.store.SetDown(false)
+		time.Sleep(4 * time.Second)
+		n.look(func(c *Controller) {
+			w.same("may run", len(c.reign.jobs["job-11"].awaits), 0)
+			w.same("in the queue", slices.Contains(c.reign.teams["red"].Items(), c.reign.jobs["job-11"]), true)
+		})
+	})
+}
+
+// A cancellation that comes too late, and is answered with done, lets the jobs after
+// it go on.
+func TestCancellationAnsweredWithDone(t *testing.T) {
+	playStage(t, 2, func(s *stage) {
+		s.order(2*time.Second, job1("job-1", "red", 1))
+		s.order(2*time.Second, after("job-2", "red", 1, "job-1"))
+		for s.phase(s.node("n0"), "job-1") != api.JobDone {
+			time.Sleep(100 * time.Millisecond)
+		}
+		s.cancel("job-1")
+		s.settle(time.Minute)
+		s.same("after it", s.phase(s.node("n0"), "job-2"), api.JobDone)
+	})
+}
+
+// While nobody leads, whoever reads a job that needs a cancelled one cancels it: its
+// user must be told so in time.
+func TestOrphansWhileNobodyLeads(t *testing.T) {
+	play(t, func(w *world) {
+		leader, b := w.start("n0"), w.start("n1")
+		w.submit(leader, spec("job-1", 1))
+		w.submit(leader, after("job-2", "red", 1, "job-1"))
+		w.submit(leader, after("job-3", "red", 1, "job-2"))
+		leader.crash()
+		if _, err := b.Abort(context.Background(), "job-1"); err != nil {
+			t.Fatal(err)
+		}
+		w.same("needs another that needs it", w.phase(b, "job-3"), api.JobWithdrawn)
+		w.same("needs it", w.phase(b, "job-2"), api.JobWithdrawn)
+		if _, created, err := b.Submit(context.Background(), after("job-4", "red", 1, "job-3")); err != nil || !created {
+			t.Errorf("submitted after: %v", err)
+		}
+		w.same("after the last", w.phase(b, "job-4"), api.JobWithdrawn)
+	})
+}
+
+// A job that waits holds nothing of its team's guarantee or limit, rents nothing and
+// is no reason to go before others; its time counts from when it could run.
+func TestWaitingHoldsNothing(t *testing.T) {
+	play(t, func(w *world) {
+		n := w.start("n0")
+		k := w.worker("i-1", "a", false)
+		w.submit(n, spec("job-1", 1))
+		w.submit(n, after("job-2", "red", 100, "job-1"))
+		k.serve(n, 100)
+		n.look(func(c *Controller) {
+			r := c.reign
+			w.same("demand", r.renter.demand(), 1.0)
+			w.same("in the queue", len(r.teams["red"].Items()), 1)
+			w.same("overlooked", r.overlooked, 0)
+			counts, _ := r.waits(time.Now())
+			w.same("why it waits", counts, map[string]int{"awaits others": 1})
+		})
+		st, err := n.Job(context.Background(), "job-2")
+		w.same("waits for", st.Awaits, []string{"job-1"})
+		w.same("phase", st.Phase, api.JobPending)
+		if err != nil {
+			t.Error(err)
+		}
+		k.exit(api.CauseDone)
+		k.serve(n, 3)
+		w.same("begun", len(k.running()), 4)
+		n.look(func(c *Controller) {
+			j := c.reign.jobs["job-2"]
+			w.same("since it could run", time.Since(j.since) < 5*time.Second, true)
+			w.same("its aim", time.Until(j.aims[0]) > 80*time.Second, true)
+			w.same("demand", c.reign.renter.demand(), 16.0)
+		})
+	})
+}
+
+// A pipeline's deadline and priority reach all its stages, those of other branches
+// and teams too, as the latest time to begin that leaves time for what follows.
+func TestUrgencyFlowsBackward(t *testing.T) {
+	play(t, func(w *world) {
+		w.director = nil
+		n := w.start("n0")
+		for _, s := range []*api.JobSpec{spec("job-1", 1), after("job-2", "red", 1, "job-1"), after("job-3", "blue", 1, "job-1"), spec("job-8", 1)} {
+			s.Class = "stage" // without aims of its own
+			w.submit(n, s)
+		}
+		last := after("job-4", "red", 1, "job-2", "job-3")
+		last.DeadlineS, last.Priority, last.Class = 300, "urgent", "stage"
+		w.submit(n, last)
+		accepted := time.Now()
+		time.Sleep(1500 * time.Millisecond) // the queues are put in order once a second
+		n.look(func(c *Controller) {
+			r := c.reign
+			takes := 30*time.Second + time.Second + stageLag // estimate, a report, and the lag
+			for id, stages := range map[string]int{"job-4": 0, "job-2": 1, "job-3": 1, "job-1": 2} {
+				j := r.jobs[id]
+				want := accepted.Add(300*time.Second - time.Duration(stages)*takes)
+				if d := j.aims[0].Sub(want); d < -time.Second || d > time.Second {
+					t.Errorf("%s should be complete %v from the wanted time", id, d)
+				}
+				w.same(id+" rank", j.rank, api.PriorityRank("urgent"))
+			}
+			w.same("of another pipeline", r.jobs["job-8"].rank, api.PriorityRank("low"))
+			w.same("served first", r.teams["red"].Items()[0].ID(), "job-1")
+		})
+	})
+}
+
+// Long chains and wide fans are cancelled, and loaded by the next leader, with work
+// in proportion to their size.
+func TestLargePipelines(t *testing.T) {
+	for name, need := range map[string]func(i int) []string{
+		"chain": func(i int) []string { return []string{fmt.Sprint("job-", i-1)} },
+		"fan":   func(int) []string { return []string{"job-0"} },
+		"mesh": func(i int) []string {
+			var ids []string
+			for o := max(0, i-i%20-20); o < max(1, i-i%20); o++ {
+				ids = append(ids, fmt.Sprint("job-", o))
+			}
+			return ids
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(w *world) {
+				n := w.start("n0")
+				const jobs = 200
+				w.submit(n, spec("job-0", 1))
+				for i := 1; i < jobs; i++ {
+					s := after(fmt.Sprint("job-", i), "red", 1, need(i)...)
+					s.DeadlineS = float64(100000 - i*100)
+					if _, _, err := n.Submit(context.Background(), s); err != nil {
+						t.Fatal(err)
+					}
+				}
+				n.crash()
+				n = w.start("n0")
+				time.Sleep(2 * time.Second)
+				n.look(func(c *Controller) { w.same("in the queue", len(c.reign.teams["red"].Items()), 1) })
+				if _, err := n.Abort(context.Background(), "job-0"); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(30 * time.Second)
+				p, err := w.store.Range(context.Background(), store.ActivePrefix+"job-", "", 500)
+				if err != nil || len(p.Rows) > 0 {
+					t.Errorf("%d jobs left, %v", len(p.Rows), err)
+				}
+				for i := range jobs {
+					if got := w.phase(n, fmt.Sprint("job-", i)); got != api.JobWithdrawn {
+						t.Fatalf("job-%d: %s", i, got)
+					}
+				}
+				n.look(func(c *Controller) {
+					w.same("left in memory", len(c.reign.jobs)+len(c.reign.pipeline.needers)+len(c.reign.pipeline.doomed), 0)
+				})
+			})
+		})
+	}
+}
--- a/internal/controller/recorder.go
+++ b/internal/controller/recorder.go
@@ -84,7 +84,9 @@
 	txn      store.Txn
 	bytes    int
 	finished []*job
-	sheets   []*sheet
+	// doomed are cancelled with a job that they need.
+	doomed []*job
+	sheets []*sheet
 	// replaced are sheets that go with this batch.
 	replaced []*sheet
 	drops    []string
@@ -140,6 +142,7 @@
 		// From now on others may read of its end before this node knows of it.
 		j.ending = true
 	}
+	w.r.pipeline.add(b, allowed, w.maxBytes)
 	w.enrolling = slices.DeleteFunc(w.enrolling, func(m *machine) bool { return m.gone })
 	for len(w.enrolling) > 0 && len(b.txn.Ops) < allowed && b.bytes < w.maxBytes {
 		n, size := w.fitting(w.enrolling)
@@ -312,6 +315,11 @@
 				changed = append(changed, j)
 			}
 		}
+		for _, j := range m.b.doomed {
+			if slices.Contains(m.res.Failed, store.ActivePrefix+j.spec.ID) {
+				changed = append(changed, j)
+			}
+		}
 		w.verify(changed)
 		for _, p := range m.b.progressed {
 			if !p.j.over && slices.Contains(m.res.Failed, store.ActivePrefix+p.j.spec.ID) {
@@ -327,6 +335,7 @@
 // again puts a batch back that was not carried out, or may not have been.
 func (w *recorder) again(b *batch) {
 	w.finishing = append(slices.Clone(b.finished), w.finishing...)
+	w.r.pipeline.doomed = append(slices.Clone(b.doomed), w.r.pipeline.doomed...)
 	w.unwritten(b)
 	w.drops = append(slices.Clone(b.drops), w.drops...)
 	for _, p := range b.progressed {
@@ -372,6 +381,9 @@
 	for _, j := range b.finished {
 		r.finished(j)
 	}
+	for _, j := range b.doomed {
+		r.c.cancelled(j.spec.ID)
+	}
 	w.written(b)
 	for _, p := range b.progressed {
 		p.j.extents[p.first] = 8 * len(p.words)
@@ -396,6 +408,7 @@
 	}
 	r.forget(j)
 	r.c.final.Add(j.spec.ID, store.FinalRecord{Phase: api.JobDone, Tasks: j.spec.Tasks}.FinalState(j.spec.ID))
+	r.pipeline.done(j.spec.ID, time.Now())
 	for first, written := range j.chunks {
 		if written {
 			r.recorder.drop(store.ProgressKey(j.spec.ID, first))
@@ -411,6 +424,7 @@
 func (w *recorder) verify(jobs []*job) {
 	for _, j := range jobs {
 		w.finishing = slices.DeleteFunc(w.finishing, func(o *job) bool { return o == j })
+		w.r.pipeline.doomed = slices.DeleteFunc(w.r.pipeline.doomed, func(o *job) bool { return o == j })
 		w.unsettled = append(w.unsettled, j.spec.ID)
 	}
 	w.settleNext()
@@ -466,6 +480,8 @@
 		r.finished(j)
 	case m.found && m.st.Phase == api.JobWithdrawn:
 		r.withdraw(j)
+	case j.doomed:
+		r.pipeline.doomed = append(r.pipeline.doomed, j)
 	default:
 		r.recorder.finishing = append(r.recorder.finishing, j)
 	}
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -56,6 +56,7 @@
 	foreignCPUs float64
 
 	confirm  confirmer
+	pipeline pipeline
 	down     relayDown
 	recorder recorder
 	renter   renter
@@ -127,6 +128,7 @@
 	r.dials = dials(c.Settings.Site.Limits.FDLimit)
 	r.confirm.r = r
 	r.recorder.init(r)
+	r.pipeline = pipeline{r: r, needers: map[string][]*job{}}
 	r.renter.init(r)
 	for _, t := range c.Settings.Site.Teams {
 		q := &queue.Team[*job]{Name: t.Name, CPUs: t.CPUs, CPUsMax: t.CPUsMax, GPUs: t.GPUs, GPUsMax: t.GPUsMax,
@@ -252,7 +254,7 @@
 			// was ended by another leader, of which the election has not yet
 			// told: how it ended is not known here.
 			id := e.Delete[len(store.ActivePrefix):]
-			if j := r.jobs[id]; j != nil && !j.finishing && e.Mark > j.mark {
+			if j := r.jobs[id]; j != nil && !j.finishing && !j.doomed && e.Mark > j.mark {
 				r.depose()
 				return
 			}
@@ -282,7 +284,7 @@
 	}
 	n := uint(rec.Spec.Tasks)
 	j := &job{
-		spec: rec.Spec, mark: mark, accepted: rec.Accepted, waiting: time.Now(), rank: api.PriorityRank(rec.Spec.Priority), preference: r.c.Policy.Preferences[rec.Spec.Class], team: team,
+		spec: rec.Spec, mark: mark, accepted: rec.Accepted, since: rec.Accepted, waiting: time.Now(), rank: api.PriorityRank(rec.Spec.Priority), preference: r.c.Policy.Preferences[rec.Spec.Class], team: team,
 		flight: flight.New(rec.Spec.Tasks), live: map[int]*attempt{},
 		done: bitset.New(n), durable: bitset.New(n), chunks: map[int]bool{},
 		runs: jobRuns{by: map[string]*runs{}}, zones: map[string]int{}, restarted: map[int]bool{}, barred: map[int]string{}, errors: map[string]int{},
@@ -290,8 +292,15 @@
 	j.aims = r.aims(j)
 	j.look(time.Now())
 	r.jobs[id] = j
-	team.Add(j)
-	r.dispatchUntil = time.Now().Add(dispatchFor)
+	switch {
+	case len(j.spec.Awaits) == 0:
+		team.Add(j)
+		r.dispatchUntil = time.Now().Add(dispatchFor)
+	case r.loaded:
+		r.pipeline.awaitJobs(j)
+		r.pipeline.urge(j)
+	default: // once all are read
+	}
 	r.c.Log.Debug("job", "job", id, "class", j.spec.Class, "team", j.spec.Team, "tasks", j.spec.Tasks)
 }
 
@@ -299,29 +308,36 @@
 // multiples of it that the objectives name, or the times that they name for
 // its class.
 func (r *reign) aims(j *job) []time.Time {
-	var seconds []float64
+	out := slices.Concat(r.deadlines(j), j.due)
 	for _, o := range r.c.Settings.Site.Objectives {
 		switch {
 		case o.Class != j.spec.Class:
 		case o.Kind == "wait":
-			j.startBy = j.accepted.Add(config.Seconds(o.WithinS))
-		case o.Kind == "deadline" && j.spec.DeadlineS > 0:
-			seconds = append(seconds, j.spec.DeadlineS*max(o.Times, 1))
+			j.startBy = j.since.Add(config.Seconds(o.WithinS))
 		case o.Kind == "finished":
-			seconds = append(seconds, o.WithinS)
+			out = append(out, j.since.Add(config.Seconds(o.WithinS)))
 		}
 	}
-	if j.spec.DeadlineS > 0 {
-		seconds = append(seconds, j.spec.DeadlineS)
+	if len(out) == 0 {
+		out = append(out, j.since.Add(config.Seconds(10*j.spec.EstimateS)))
 	}
-	if len(seconds) == 0 {
-		seconds = append(seconds, 10*j.spec.EstimateS)
+	slices.SortFunc(out, time.Time.Compare)
+	return slices.CompactFunc(out, time.Time.Equal)
+}
+
+// deadlines are the times that follow from a job's own deadline. It counts from
+// the submission, however long the job waits for others.
+func (r *reign) deadlines(j *job) []time.Time {
+	if j.spec.DeadlineS <= 0 {
+		return nil
 	}
-	slices.Sort(seconds)
-	var out []time.Time
-	for _, s := range slices.Compact(seconds) {
-		out = append(out, j.accepted.Add(config.Seconds(s)))
+	out := []time.Time{j.accepted.Add(config.Seconds(j.spec.DeadlineS))}
+	for _, o := range r.c.Settings.Site.Objectives {
+		if o.Kind == "deadline" && o.Class == j.spec.Class && o.Times > 1 {
+			out = append(out, j.accepted.Add(config.Seconds(j.spec.DeadlineS*o.Times)))
+		}
 	}
+	slices.SortFunc(out, time.Time.Compare)
 	return out
 }
 
@@ -343,6 +359,7 @@
 	j.over = true
 	j.dirty = false
 	delete(r.jobs, j.spec.ID)
+	r.pipeline.forget(j)
 	j.team.Remove(j)
 }
 
@@ -415,7 +432,7 @@
 	for _, t := range r.turns {
 		for _, j := range t.Items() {
 			j.look(now)
-			if j.overlooked = !j.begun() && now.Sub(j.accepted) > beginWithin; j.overlooked {
+			if j.overlooked = !j.begun() && now.Sub(j.since) > beginWithin; j.overlooked {
 				r.overlooked++
 			}
 			waiting += float64(j.flight.Untaken()) * j.spec.CPUs
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -267,7 +267,7 @@
 		if a.job != nil {
 			if a.job.firstStart.IsZero() {
 				a.job.firstStart = now
-				record(r.counts.firstStart, now.Sub(a.job.accepted))
+				record(r.counts.firstStart, now.Sub(a.job.since))
 			}
 			a.job.lastStart = now
 			r.hasImage(a.machine, &a.job.spec, now)
@@ -471,7 +471,7 @@
 			if j.flight.Untaken() == 0 || !(j.overlooked && !j.begun() || turn && j.behind(now)) {
 				continue
 			}
-			if (best == nil || j.accepted.Before(best.accepted)) && r.eligible(j, m, now) {
+			if (best == nil || j.since.Before(best.since)) && r.eligible(j, m, now) {
 				best = j
 			}
 		}
@@ -496,7 +496,7 @@
 func (r *reign) eligible(j *job, m *machine, now time.Time) bool {
 	s := &j.spec
 	switch {
-	case j.over || j.finishing || now.Before(j.heldUntil):
+	case j.over || j.finishing || j.doomed || len(j.awaits) > 0 || now.Before(j.heldUntil):
 		return false
 	case r.unheard > 0 && j.mark <= r.term.Mark:
 		// A machine not heard in this term may hold any task that was
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -134,6 +134,8 @@
 func (r *reign) whyWaits(j *job, now time.Time) string {
 	s := &j.spec
 	switch {
+	case j.doomed || len(j.awaits) > 0:
+		return "awaits others"
 	case now.Before(j.heldUntil):
 		return "fails everywhere"
 	case r.unheard > 0 && j.mark <= r.term.Mark:
@@ -155,7 +157,10 @@
 			continue
 		}
 		counts[r.whyWaits(j, now)]++
-		if oldest == nil || j.accepted.Before(oldest.accepted) {
+		if len(j.awaits) > 0 {
+			continue // not for room
+		}
+		if oldest == nil || j.since.Before(oldest.since) {
 			oldest = j
 		}
 	}
@@ -176,11 +181,11 @@
 	}
 	r.nextWaits = now.Add(waitsInterval)
 	counts, oldest := r.waits(now)
-	if oldest == nil || now.Sub(oldest.accepted) < waitsLong {
+	if oldest == nil || now.Sub(oldest.since) < waitsLong {
 		return
 	}
 	r.c.Log.Info("work waits", "jobs", counts, "longest", oldest.spec.ID, "class", oldest.spec.Class, "team", oldest.spec.Team,
-		"for", now.Sub(oldest.accepted).Round(time.Second), "why", r.whyWaits(oldest, now))
+		"for", now.Sub(oldest.since).Round(time.Second), "why", r.whyWaits(oldest, now))
 }
 
 // useInterval is how often the log tells how the fleet is used.
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -94,6 +94,14 @@
 	for _, e := range m.s.progress {
 		r.addProgress(e, now)
 	}
+	var waiting []*job
+	for _, j := range r.jobs {
+		if len(j.spec.Awaits) > 0 {
+			r.pipeline.awaitJobs(j)
+			waiting = append(waiting, j)
+		}
+	}
+	r.pipeline.urge(waiting...)
 	for _, e := range m.s.machines {
 		r.addSheet(e, now)
 	}
--- a/internal/store/records.go
+++ b/internal/store/records.go
@@ -1,11 +1,14 @@
 package store
 
 import (
+	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -38,8 +41,10 @@
 func Fits(spec *api.JobSpec, valueKB float64) bool {
 	// Everything else in a record is bounded, and short.
 	long := len(spec.Class) + len(spec.Image) + len(spec.Zone) + len(spec.Team)
-	for _, t := range spec.Types {
-		long += len(t) + 3
+	for _, names := range [][]string{spec.Types, spec.Awaits} {
+		for _, name := range names {
+			long += len(name) + 3
+		}
 	}
 	room := min(valueKB*1024, MaxTxnBytes-2048) // its keys are in the transaction, too
 	if float64(6*long) < room-1024 {
@@ -136,19 +141,45 @@
 // Accept makes a job's record. A job known already keeps its state, which is
 // returned with created false.
 func (r *Records) Accept(ctx context.Context, spec *api.JobSpec, now time.Time) (st api.JobState, created bool, err error) {
-	txn := Txn{
-		Guards: []Guard{{ActivePrefix + spec.ID, 0}, {FinalPrefix + spec.ID, 0}},
-		Ops:    []Op{{Put: ActivePrefix + spec.ID, Value: ActiveRecord{Spec: *spec, Accepted: now.UTC()}}},
-	}
 	err = retry(ctx, func() error {
+		txn := Txn{
+			Guards: []Guard{{ActivePrefix + spec.ID, 0}, {FinalPrefix + spec.ID, 0}},
+			Ops:    []Op{{Put: ActivePrefix + spec.ID, Value: ActiveRecord{Spec: *spec, Accepted: now.UTC()}}},
+		}
+		first := api.JobState{ID: spec.ID, Phase: api.JobPending}
+		if len(spec.Awaits) > 0 {
+			cancels, withdrawn, err := r.awaited(ctx, spec.Awaits)
+			if errors.Is(err, errNeverAccepted) {
+				// What is known already keeps its state whatever it names.
+				known, found, lerr := r.lookup(ctx, spec.ID)
+				if lerr == nil && found {
+					st = known
+					return nil
+				}
+				return cmp.Or(lerr, err)
+			}
+			if err != nil {
+				return err
+			}
+			// A cancellation that comes between fails this, or finds the job.
+			txn.Guards = append(txn.Guards, Guard{CancelKey, cancels})
+			if withdrawn {
+				final := FinalRecord{Phase: api.JobWithdrawn, Tasks: spec.Tasks}
+				txn.Ops = []Op{{Put: FinalPrefix + spec.ID, Value: final}}
+				first = final.FinalState(spec.ID)
+			}
+		}
 		res, err := r.txn(ctx, txn)
 		if err != nil {
 			return err
 		}
 		if res.OK {
-			st, created = api.JobState{ID: spec.ID, Phase: api.JobPending}, true
+			st, created = first, true
 			return nil
 		}
+		if !slices.ContainsFunc(res.Failed, func(key string) bool { return key != CancelKey }) {
+			return fmt.Errorf("%w: a job was cancelled meanwhile", ErrRefused)
+		}
 		// Known already; perhaps by this very transaction, whose answer
 		// was lost.
 		var found bool
@@ -178,10 +209,139 @@
 	if err != nil {
 		return api.JobState{}, false, err
 	}
-	if e.Mark != 0 {
-		return api.JobState{ID: id, Phase: api.JobPending}, true, nil
+	if e.Mark == 0 {
+		return r.Final(ctx, id)
+	}
+	doomed, err := r.doomed(ctx, e)
+	if err != nil {
+		return api.JobState{}, false, err
+	}
+	if doomed {
+		// While nobody leads, nobody else does this.
+		return r.Cancel(ctx, id)
+	}
+	return api.JobState{ID: id, Phase: api.JobPending}, true, nil
+}
+
+// mostAwaited is how many awaited jobs are read one by one; more are looked for
+// among all that are active.
+const mostAwaited = 24
+
+// errNeverAccepted means that a job names one that nobody has accepted.
+var errNeverAccepted = errors.New("state service: never accepted")
+
+// NeverAcceptedError names a job that another one awaits and nobody has accepted.
+type NeverAcceptedError struct{ ID string }
+
+func (e *NeverAcceptedError) Error() string { return "awaits " + e.ID + ", which was never accepted" }
+
+// Is makes it an errNeverAccepted.
+func (e *NeverAcceptedError) Is(target error) bool { return target == errNeverAccepted }
+
+// awaited looks whether jobs were accepted and whether one of them is cancelled, or
+// is to be with one that it needs itself. The version of the cancel key is from
+// before they were read.
+func (r *Records) awaited(ctx context.Context, ids []string) (cancels uint64, withdrawn bool, err error) {
+	e, err := r.get(ctx, CancelKey)
+	if err != nil {
+		return 0, false, err
+	}
+	cancels = e.Mark
+	active := map[string]Entry{}
+	if len(ids) > mostAwaited {
+		if active, err = r.allActive(ctx); err != nil {
+			return 0, false, err
+		}
+	}
+	for _, id := range ids {
+		e, ok := active[id]
+		if !ok {
+			if e, err = r.get(ctx, ActivePrefix+id); err != nil {
+				return 0, false, err
+			}
+		}
+		if e.Mark != 0 {
+			doomed, err := r.doomed(ctx, e)
+			if err != nil {
+				return 0, false, err
+			}
+			withdrawn = withdrawn || doomed
+			continue
+		}
+		st, found, err := r.Final(ctx, id)
+		if err != nil {
+			return 0, false, err
+		}
+		if !found {
+			return 0, false, &NeverAcceptedError{id}
+		}
+		withdrawn = withdrawn || st.Phase == api.JobWithdrawn
+	}
+	return cancels, withdrawn, nil
+}
+
+func (r *Records) allActive(ctx context.Context) (map[string]Entry, error) {
+	all := map[string]Entry{}
+	for from := ""; ; {
+		ctx, cancel := context.WithTimeout(ctx, 2*tryTimeout)
+		p, err := r.Store.Range(ctx, ActivePrefix, from, 500)
+		cancel()
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range p.Rows {
+			all[strings.TrimPrefix(e.Key, ActivePrefix)] = e
+			from = e.Key
+		}
+		if !p.More || len(p.Rows) == 0 {
+			return all, nil
+		}
+	}
+}
+
+// mostSearched bounds how many jobs are looked at to find whether one is cancelled
+// that another needs. A leader does so without bound, from its memory.
+const mostSearched = 64
+
+// doomed tells whether an active job needs one, directly or through others, that is
+// cancelled.
+func (r *Records) doomed(ctx context.Context, e Entry) (bool, error) {
+	seen := map[string]bool{}
+	for todo := awaitsOf(e); len(todo) > 0 && len(seen) < mostSearched; {
+		id := todo[0]
+		if todo = todo[1:]; seen[id] {
+			continue
+		}
+		seen[id] = true
+		a, err := r.get(ctx, ActivePrefix+id)
+		if err != nil {
+			return false, err
+		}
+		if a.Mark != 0 {
+			todo = append(todo, awaitsOf(a)...)
+			continue
+		}
+		st, _, err := r.Final(ctx, id)
+		if err != nil {
+			return false, err
+		}
+		if st.Phase == api.JobWithdrawn {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+// awaitsOf are the jobs that an active job needs.
+func awaitsOf(e Entry) []string {
+	if !bytes.Contains(e.Value, []byte(`"Awaits"`)) {
+		return nil // most need none
+	}
+	var rec ActiveRecord
+	if json.Unmarshal(e.Value, &rec) != nil {
+		return nil
 	}
-	return r.Final(ctx, id)
+	return rec.Spec.Awaits
 }
 
 // Final reads a job's final record.
