--- a/internal/controller/pipeline.go
+++ b/internal/controller/pipeline.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/config"
 	"example.org/ivytrestle/internal/store"
@@ -25,13 +27,20 @@
 	// needers are the jobs that wait, by what they wait for.
 	needers map[string][]*job
 	// doomed are the jobs that are to be cancelled on record.
-	doomed []*job
+	doomed  []*job
+	limiter *rate.Limiter
 	// sought are awaited jobs that are not active: how they ended is to be read,
 	// one at a time.
 	sought  []string
 	seeking bool
 }
 
+func (p *pipeline) init(r *reign) {
+	lim := r.c.Settings.Site.State
+	cancels := lim.WriteRPS * cancelShare
+	*p = pipeline{r: r, needers: map[string][]*job{}, limiter: rate.NewLimiter(rate.Limit(cancels), max(cancelOps, min(lim.TxnOps, int(cancels))))}
+}
+
 // awaitJobs has a job wait for those that it needs.
 func (p *pipeline) awaitJobs(j *job) {
 	j.awaits = map[string]bool{}
@@ -115,17 +124,27 @@
 	j.awaits = nil
 }
 
-// add cancels doomed jobs in a batch, within what it may still hold. The cancel
-// key goes with them: a job that is submitted just now to follow one of them is
-// guarded by it.
-func (p *pipeline) add(b *batch, allowed int, maxBytes int) {
+// cancelShare is the part of the write rate that doomed jobs have for themselves:
+// with small transactions the ends of other jobs would take every turn, and their
+// users wait. Users' own cancellations leave it to them.
+const cancelShare = 0.4
+
+// cancelOps is what the cancellation of one job takes.
+const cancelOps = 3
+
+// add cancels doomed jobs in a batch of their own, if the write rate allows. The
+// cancel key goes with them: a job that is submitted just now to follow one of them
+// is guarded by it.
+func (p *pipeline) add(b *batch, now time.Time) {
 	p.doomed = slices.DeleteFunc(p.doomed, func(j *job) bool { return j.over })
-	if len(p.doomed) == 0 || len(b.txn.Ops)+3 > allowed {
+	w := &p.r.recorder
+	allowed := min(w.maxOps, int(p.limiter.TokensAt(now)))
+	if len(p.doomed) == 0 || allowed < cancelOps {
 		return
 	}
 	b.put(store.CancelKey, p.doomed[0].spec.ID)
 	n := 0
-	for n < len(p.doomed) && len(b.txn.Ops)+2 <= allowed && b.bytes < maxBytes {
+	for n < len(p.doomed) && len(b.txn.Ops)+2 <= allowed && b.bytes < w.maxBytes {
 		j := p.doomed[n]
 		active := store.ActivePrefix + j.spec.ID
 		b.txn.Guards = append(b.txn.Guards, store.Guard{Key: active, Mark: j.mark})
@@ -136,6 +155,7 @@
 	}
 	b.doomed = slices.Clone(p.doomed[:n])
 	p.doomed = p.doomed[n:]
+	p.limiter.AllowN(now, len(b.txn.Ops))
 }
 
 // urge passes the deadlines and priorities of jobs on to all that they need: those
--- a/internal/controller/pipeline_test.go
+++ b/internal/controller/pipeline_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/config"
 	"example.org/ivytrestle/internal/store"
 )
 
@@ -351,3 +352,44 @@
 		})
 	}
 }
+
+// With small transactions and more ends of jobs than the write rate has room for,
+// what is cancelled with a job that it needs must still be so in time.
+func TestCancellationsPassOnUnderLoad(t *testing.T) {
+	play(t, func(w *world) {
+		w.state = config.StateLimits{RPS: 100, WriteRPS: 18, ValueKB: 2, TxnOps: 4}
+		n := w.start("n0")
+		w.submit(n, spec("job-1", 1))
+		for i := range 20 {
+			w.submit(n, after(fmt.Sprint("job-2", i), "red", 1, "job-1"))
+		}
+		n.look(func(c *Controller) { c.reign.teams["blue"].CPUsMax = 1000 })
+		var ks []*worker
+		for i := range 30 {
+			ks = append(ks, w.worker(fmt.Sprint("i-", i), "a", false))
+		}
+		for i := range 40 {
+			s := spec(fmt.Sprint("job-3", i), 20)
+			s.Team = "blue"
+			w.submit(n, s)
+		}
+		work := func(seconds int) {
+			for range seconds {
+				for _, k := range ks {
+					k.report(n)
+					k.exit(api.CauseDone)
+				}
+				time.Sleep(time.Second)
+			}
+		}
+		work(3)
+		n.look(func(c *Controller) { c.reign.jobs["job-1"].heldUntil = time.Now().Add(time.Hour) })
+		if _, err := n.Abort(context.Background(), "job-1"); err != nil {
+			t.Fatal(err)
+		}
+		work(20)
+		for i := range 20 {
+			w.same("needs it", w.phase(n, fmt.Sprint("job-2", i)), api.JobWithdrawn)
+		}
+	})
+}
--- a/internal/controller/recorder.go
+++ b/internal/controller/recorder.go
@@ -119,10 +119,17 @@
 	}()
 }
 
+func (w *recorder) newBatch() *batch {
+	return &batch{txn: store.Txn{Records: true, Guards: []store.Guard{w.r.termGuard()}}}
+}
+
 // next takes the next batch, the most urgent first, within what the write rate
 // allows at this moment.
 func (w *recorder) next(now time.Time) *batch {
-	b := &batch{txn: store.Txn{Records: true, Guards: []store.Guard{w.r.termGuard()}}}
+	b := w.newBatch()
+	if w.r.pipeline.add(b, now); len(b.txn.Ops) > 0 {
+		return b
+	}
 	allowed := min(w.maxOps, int(w.limiter.TokensAt(now)))
 	for len(w.finishing) > 0 && b.bytes < w.maxBytes {
 		j := w.finishing[0]
@@ -142,7 +149,6 @@
 		// From now on others may read of its end before this node knows of it.
 		j.ending = true
 	}
-	w.r.pipeline.add(b, allowed, w.maxBytes)
 	w.enrolling = slices.DeleteFunc(w.enrolling, func(m *machine) bool { return m.gone })
 	for len(w.enrolling) > 0 && len(b.txn.Ops) < allowed && b.bytes < w.maxBytes {
 		n, size := w.fitting(w.enrolling)
--- a/internal/controller/reign.go
+++ b/internal/controller/reign.go
@@ -128,7 +128,7 @@
 	r.dials = dials(c.Settings.Site.Limits.FDLimit)
 	r.confirm.r = r
 	r.recorder.init(r)
-	r.pipeline = pipeline{r: r, needers: map[string][]*job{}}
+	r.pipeline.init(r)
 	r.renter.init(r)
 	for _, t := range c.Settings.Site.Teams {
 		q := &queue.Team[*job]{Name: t.Name, CPUs: t.CPUs, CPUsMax: t.CPUsMax, GPUs: t.GPUs, GPUsMax: t.GPUsMax,
