Test of cancellations under load made strict enough

Now 200 jobs end against 7 records a second, and it fails when cancellations wait for the other records.

--- a/internal/controller/pipeline_test.go
+++ b/internal/controller/pipeline_test.go
@@ -368,10 +368,12 @@
 		for i := range 30 {
 			ks = append(ks, w.worker(fmt.Sprint("i-", i), "a", false))
 		}
-		for i := range 40 {
-			s := spec(fmt.Sprint("job-3", i), 20)
+		for i := range 200 {
+			s := spec(fmt.Sprint("job-3", i), 1)
 			s.Team = "blue"
-			w.submit(n, s)
+			if _, _, err := n.Submit(context.Background(), s); err != nil {
+				t.Fatal(err)
+			}
 		}
 		work := func(seconds int) {
 			for range seconds {
@@ -388,6 +390,7 @@
 			t.Fatal(err)
 		}
 		work(20)
+		n.look(func(c *Controller) { w.same("ends wait", len(c.reign.recorder.finishing) > 20, true) })
 		for i := range 20 {
 			w.same("needs it", w.phase(n, fmt.Sprint("job-2", i)), api.JobWithdrawn)
 		}
