Machines are rented for jobs that may not use those there are

Demand was compared with the fleet as a whole. What jobs with fewer choices lack is now covered for itself, by machines that were to be drained or by new ones; for a job that awaits others once all of them have begun, so that a machine boots meanwhile.

Ruled out: order of work and lag between stages (every stage began within seconds).

--- /dev/null
+++ b/internal/controller/particular.go
@@ -0,0 +1,116 @@
+package controller
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/fleet"
+)
+
+// Demand as a whole may be covered by machines on which some jobs must not run: cheap
+// ones, or those of another zone or type. What such jobs lack is covered for itself.
+// Otherwise, when only cheap machines were left of a fleet, a job that must not use
+// them waited for ever beside free room.
+
+// particular is the demand of the jobs that may use the same machines only.
+type particular struct {
+	spec *api.JobSpec
+	cpus float64
+}
+
+// restricted tells whether a job may not use every machine.
+func restricted(s *api.JobSpec) bool { return !s.Spot || s.Zone != "" || s.Types != nil }
+
+func mayUse(s *api.JobSpec, typ, zone string, spot bool) bool {
+	return typeAllowed(s, typ) && (s.Zone == "" || s.Zone == zone) && (!spot || s.Spot)
+}
+
+// particulars sums up what waits, by what machines it may use. A job that awaits
+// others counts once all of them have begun: a machine boots meanwhile.
+func (f *renter) particulars(now time.Time) []*particular {
+	byKind := map[string]*particular{}
+	add := func(j *job, cpus float64) {
+		key := j.spec.Zone + "|" + strings.Join(j.spec.Types, ",")
+		if j.spec.Spot {
+			key += "|spot"
+		}
+		p := byKind[key]
+		if p == nil {
+			p = &particular{spec: &j.spec}
+			byKind[key] = p
+		}
+		p.cpus += cpus
+	}
+	patience := 2 * f.r.c.Settings.Site.Workers.Report()
+	for _, t := range f.r.turns {
+		room := t.CPUsMax - t.UsedCPUs
+		for _, j := range t.Items() {
+			cpus := min(float64(j.flight.Untaken())*j.spec.CPUs, room)
+			if cpus > 0 && restricted(&j.spec) && !j.finishing && j.faulty == 0 && now.Sub(j.since) > patience {
+				add(j, cpus)
+				room -= cpus
+			}
+		}
+	}
+	for _, j := range f.r.jobs {
+		if len(j.awaits) > 0 && !j.doomed && restricted(&j.spec) && f.r.pipeline.soon(j) {
+			add(j, min(float64(j.spec.Tasks)*j.spec.CPUs, j.team.CPUsMax))
+		}
+	}
+	var out []*particular
+	for _, p := range byKind {
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b *particular) int { return strings.Compare(a.spec.ID, b.spec.ID) })
+	return out
+}
+
+// soon tells whether all that a job waits for has begun.
+func (p *pipeline) soon(j *job) bool {
+	for id := range j.awaits {
+		if o := p.r.jobs[id]; o == nil || !o.begun() {
+			return false
+		}
+	}
+	return true
+}
+
+// rentParticular covers what is lacking for jobs that may not use every machine: by
+// machines that were to be drained, or by new ones.
+func (f *renter) rentParticular(offers []fleet.Offer, now time.Time) {
+	r := f.r
+	for _, p := range f.particulars(now) {
+		lack := p.cpus
+		var drained []*machine
+		for _, m := range r.machines {
+			switch {
+			case m.leaving || m.gone || m.cpus == 0 || !mayUse(p.spec, m.typ, m.zone, m.spot):
+			case m.draining:
+				drained = append(drained, m)
+			default:
+				lack -= float64(m.slots(p.spec)) * p.spec.CPUs
+			}
+		}
+		for _, e := range r.expected {
+			if !e.returning && mayUse(p.spec, e.typ, e.zone, e.spot) {
+				lack -= e.cpus
+			}
+		}
+		for _, h := range f.hiring {
+			if mayUse(p.spec, h.Type, h.Zone, h.Spot) {
+				lack -= float64(h.Count) * h.CPUs
+			}
+		}
+		slices.SortFunc(drained, func(a, b *machine) int { return strings.Compare(a.name, b.name) })
+		for _, m := range drained {
+			if lack <= 0 {
+				break
+			}
+			m.draining = false
+			lack -= float64(m.slots(p.spec)) * p.spec.CPUs
+		}
+		f.cover(lack, slices.DeleteFunc(slices.Clone(offers), func(o fleet.Offer) bool { return !mayUse(p.spec, o.Type, o.Zone, o.Spot) }))
+	}
+}
--- a/internal/controller/pipeline_test.go
+++ b/internal/controller/pipeline_test.go
@@ -439,3 +439,46 @@
 		})
 	}
 }
+
+// When only cheap machines are left, which a job must not use, others are rented for
+// it, though there is free room enough; for a job that awaits another, once that has
+// begun.
+func TestMachinesForJobsThatMayNotUseThose(t *testing.T) {
+	play(t, func(w *world) {
+		n := w.start("n0")
+		cheap := w.worker("i-1", "a", true)
+		cheap.serve(n, 4)
+		ordinary := func(zone string) int {
+			w.cloud.mu.Lock()
+			defer w.cloud.mu.Unlock()
+			sum := 0
+			for _, r := range w.cloud.rentals {
+				if !r.Spot && (zone == "" || r.Zone == zone) {
+					sum += r.Count
+				}
+			}
+			return sum
+		}
+		n.look(func(c *Controller) { c.Policy.MinCPUs = 0 })
+		cheap.serve(n, 20) // what was refused may be asked for again
+		w.cloud.mu.Lock()
+		w.cloud.capacity, w.cloud.rentals = 10, nil
+		w.cloud.mu.Unlock()
+		first, second := spec("job-1", 1), after("job-2", "red", 2, "job-1")
+		second.Spot = false
+		w.submit(n, first)
+		w.submit(n, second)
+		w.same("before what it awaits has begun", ordinary(""), 0)
+		cheap.serve(n, 5)
+		w.same("begun", len(cheap.running()), 1)
+		w.same("rented in time", ordinary(""), 1)
+		zone := spec("job-3", 6)
+		zone.Spot, zone.Zone = false, "b"
+		w.submit(n, zone)
+		cheap.serve(n, 8)
+		w.same("in its zone", ordinary("b"), 2)
+		before := ordinary("")
+		cheap.serve(n, 8)
+		w.same("not again while they boot", ordinary(""), before)
+	})
+}
--- a/internal/controller/renter.go
+++ b/internal/controller/renter.go
@@ -17,10 +17,12 @@
 // is a part of the reign and speaks to the cloud through goroutines that
 // answer by messages.
 type renter struct {
-	r        *reign
-	named    int
-	renting  int
-	asked    float64 // CPUs of rentals whose outcome is not known yet
+	r       *reign
+	named   int
+	renting int
+	asked   float64 // CPUs of rentals whose outcome is not known yet
+	// hiring are the rentals that are not answered yet, by name.
+	hiring   map[string]fleet.Purchase
 	blocked  map[fleet.Kind]time.Time
 	returns  []string
 	sending  bool
@@ -44,6 +46,7 @@
 func (f *renter) init(r *reign) {
 	f.r = r
 	f.blocked = map[fleet.Kind]time.Time{}
+	f.hiring = map[string]fleet.Purchase{}
 }
 
 func (f *renter) tick(now time.Time) {
@@ -87,16 +90,26 @@
 	want := max(f.demand()*(1+r.c.Policy.Headroom), r.c.Policy.MinCPUs)
 	f.surplus = total - f.peak.add(now, want, r.c.Policy.Hold)
 	f.drain(now)
-	lack := want - total - booting
-	if lack <= 0 || f.renting >= maxRenting || r.unheard > 0 {
+	if r.unheard > 0 {
 		return
 	}
-	for _, p := range fleet.Plan(lack, f.offers(now), cloud.MaxRent, maxRenting-f.renting) {
+	offers := f.offers(now)
+	f.cover(want-total-booting, offers)
+	f.rentParticular(offers, now)
+}
+
+// cover rents what is lacking of some offers.
+func (f *renter) cover(lack float64, offers []fleet.Offer) {
+	if lack <= 0 || f.renting >= maxRenting {
+		return
+	}
+	for _, p := range fleet.Plan(lack, offers, cloud.MaxRent, maxRenting-f.renting) {
 		f.named++
 		f.renting++
 		f.asked += float64(p.Count) * p.CPUs
-		req := cloud.Rental{Name: r.rentalName(f.named), Type: p.Type, Zone: p.Zone, Spot: p.Spot, Count: p.Count}
-		go r.hire(req, p.Offer)
+		req := cloud.Rental{Name: f.r.rentalName(f.named), Type: p.Type, Zone: p.Zone, Spot: p.Spot, Count: p.Count}
+		f.hiring[req.Name] = p
+		go f.r.hire(req, p.Offer)
 	}
 }
 
@@ -264,6 +277,7 @@
 	}
 	now := time.Now()
 	r.renter.renting--
+	delete(r.renter.hiring, m.req.Name)
 	r.renter.asked -= float64(m.req.Count) * m.o.CPUs
 	if len(m.hosts) < m.req.Count {
 		r.renter.blocked[m.o.Kind()] = now.Add(blockedFor)
