--- a/internal/controller/gap_test.go
+++ b/internal/controller/gap_test.go
@@ -120,6 +120,14 @@
 	down := func(g *gapWorld) { g.store.SetDown(true) }
 	cancel := func(g *gapWorld) { g.cancelAt(g.b) }
 	apart := func(g *gapWorld) { g.l.cut.Store(true) }
+	// Cancelled by a node that has ended since, without a word.
+	elsewhere := func(g *gapWorld) {
+		other := g.startWith("n9", g.store, nil)
+		if _, err := other.Abort(context.Background(), "job-1"); err != nil {
+			g.t.Fatal(err)
+		}
+		other.crash()
+	}
 	restart := func(g *gapWorld) {
 		g.b.crash()
 		g.b = g.l.add("n1", g.startWith("n1", g.gb, g.l))
@@ -142,24 +150,11 @@
 		{"apart first", map[int]func(*gapWorld){1000: apart, 1050: cancel, 1100: refuse, 1150: down}, false},
 		{"apart for a while", map[int]func(*gapWorld){1000: refuse, 1050: apart, 2000: cancel, 3000: down,
 			5000: func(g *gapWorld) { g.l.cut.Store(false) }}, true},
-		{"told by a node that only read it", map[int]func(*gapWorld){1000: refuse, 2000: func(g *gapWorld) {
-			// Cancelled by a node that has ended since, without a word.
-			other := g.startWith("n9", g.store, nil)
-			if _, err := other.Abort(context.Background(), "job-1"); err != nil {
-				g.t.Fatal(err)
-			}
-			other.crash()
-		}, 2550: func(g *gapWorld) {
+		{"told by a node that only read it", map[int]func(*gapWorld){1000: refuse, 2000: elsewhere, 2550: func(g *gapWorld) {
 			g.same("asked", g.phase(g.b, "job-1"), api.JobWithdrawn)
 			g.told = time.Now()
 		}, 2600: down}, true},
-		{"told to a repeated submission", map[int]func(*gapWorld){1000: refuse, 2000: func(g *gapWorld) {
-			other := g.startWith("n9", g.store, nil)
-			if _, err := other.Abort(context.Background(), "job-1"); err != nil {
-				g.t.Fatal(err)
-			}
-			other.crash()
-		}, 2550: func(g *gapWorld) {
+		{"told to a repeated submission", map[int]func(*gapWorld){1000: refuse, 2000: elsewhere, 2550: func(g *gapWorld) {
 			st, _, err := g.b.Submit(context.Background(), spec("job-1", 2))
 			if err != nil {
 				g.t.Fatal(err)
