--- a/internal/controller/machines_test.go
+++ b/internal/controller/machines_test.go
@@ -569,3 +569,53 @@
 		}
 	}
 }
+
+// There is more work than room, urgent and not, over slow links: answers take long
+// to reach the machines, some so long that they are dropped. No rule breaks, urgent
+// work is done before the rest, and all is done in the end.
+func TestMoreWorkThanRoomOverSlowLinks(t *testing.T) {
+	for _, delay := range []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second, 3900 * time.Millisecond} {
+		for _, change := range []bool{false, true} {
+			t.Run(fmt.Sprint(delay, " ", change), func(t *testing.T) {
+				playStage(t, 4, func(s *stage) {
+					for _, k := range s.hosts {
+						k.trouble(func(k *host) { k.linkDelay = delay })
+					}
+					var urgent, low []string
+					for i := range 20 {
+						j := job1(fmt.Sprint("job-", i), []string{"red", "blue"}[i%2], 6)
+						if i >= 12 {
+							j.Priority = "urgent"
+							urgent = append(urgent, j.ID)
+						} else {
+							low = append(low, j.ID)
+							j.DeadlineS = 70 // sooner than the others' aim
+						}
+						s.order(9*time.Second, j)
+					}
+					time.Sleep(5 * time.Second)
+					if change {
+						s.restart(time.Second)
+					}
+					s.cancel("job-0", "job-15")
+					time.Sleep(35 * time.Second)
+					count := func(ids []string) (n int) {
+						s.h.mu.Lock()
+						defer s.h.mu.Unlock()
+						for _, id := range ids {
+							n += len(s.h.jobs[id].done)
+						}
+						return n * 100 / len(ids)
+					}
+					if u, l := count(urgent), count(low); u <= l {
+						t.Errorf("tasks done of each hundred jobs: %d of urgent ones, %d of others", u, l)
+					}
+					for _, k := range s.hosts {
+						k.well()
+					}
+					s.settle(10 * time.Minute)
+				})
+			})
+		}
+	}
+}
