Test of pipelines: what was told and asked is compared in one step

TestCancellationTakesWhatFollows failed once in 20 runs: between the look whether an end had been told and the taking in of an answer, both at one instant of the fake clock, another goroutine told it.

--- a/internal/controller/history_test.go
+++ b/internal/controller/history_test.go
@@ -233,6 +233,21 @@
 func (h *history) told(id, phase string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.tell(id, phase)
+}
+
+// answered is told for a question asked at some time. If another user was told of
+// the job's end since, or at that instant, the answer may be older.
+func (h *history) answered(id, phase string, asked time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if p := h.jobs[id]; p.withdrawn.Before(asked) && p.finished.Before(asked) {
+		h.tell(id, phase)
+	}
+}
+
+// tell is told with the lock held.
+func (h *history) tell(id, phase string) {
 	p := h.jobs[id]
 	if at := h.withdrawnBefore(id); phase != api.JobWithdrawn && !at.IsZero() && time.Since(at) > h.cancelTime() {
 		h.fail("%s is orphaned: called %s %v after the cancellation of a job that it needs", id, phase, time.Since(at))
--- a/internal/controller/pipeline_test.go
+++ b/internal/controller/pipeline_test.go
@@ -40,8 +40,8 @@
 				for _, name := range s.names {
 					if n := s.node(name); n != nil {
 						asked := time.Now()
-						if p := s.phase(n, id); slices.Contains([]string{"pending", "running", "done", "withdrawn"}, p) && !s.h.toldSince(id, asked) {
-							s.h.told(id, p)
+						if p := s.phase(n, id); slices.Contains([]string{"pending", "running", "done", "withdrawn"}, p) {
+							s.h.answered(id, p, asked)
 						}
 					}
 				}
@@ -51,14 +51,6 @@
 	}
 }
 
-// toldSince tells whether a user was told of a job's end since a question was asked:
-// its answer may be older.
-func (h *history) toldSince(id string, asked time.Time) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return !h.jobs[id].withdrawn.Before(asked) || !h.jobs[id].finished.Before(asked)
-}
-
 // A pipeline runs in its order whatever happens to the leaders: no task starts
 // before all that its job needs is done on record, also while records are late or
 // their answers are lost.
