Cascades are told at once, and no bound on machines lies below 4,000

And maxRelayed (2,000 machines), the log of cancellations (400 in an answer), the records of extended leases (some 2,900 machines at 1 KiB) and the triage (500 jobs) were fixed limits that a fleet of 4,000 passes.

Ruled out: a larger share of the write rate (submissions need it), one record for many jobs (a version that does not know it would call them pending).

Change: what follows from the records is told as it is derived, by the leader and by whoever reads a job; a leader that has yet to read how awaited jobs ended has the store answer. A node records one derived cancellation at a time instead of one for every poll. Tables follow ram_mb, with 4,096 entries at the least; the triage follows the fleet; extended leases are read in pages.

The check that one node of three writes at most 33 records of extended leases was of the limit that is gone; in its place all 5,000 machines must be taken in. The log's test counts bytes of an answer as the log does now.

--- a/internal/api/wire.go
+++ b/internal/api/wire.go
@@ -304,6 +304,9 @@
 	Awaits []string `json:"Awaits,omitempty"`
 	// Ended is when the job was done, if that is known. Users are not told.
 	Ended time.Time `json:"-"`
+	// Derived is set if the job is cancelled since one that it needs is, and may have
+	// no final record of its own yet. Users are not told.
+	Derived bool `json:"-"`
 }
 
 // Final tells whether the job is over.
--- a/internal/cancellation/log.go
+++ b/internal/cancellation/log.go
@@ -21,6 +21,8 @@
 	// since is from when on the log is whole.
 	since     time.Time
 	retention time.Duration
+	// maxEntries bounds the log.
+	maxEntries int
 }
 
 type entry struct {
@@ -29,21 +31,28 @@
 }
 
 const (
-	// maxEntries bounds a log, and maxNews what one answer carries of it.
-	maxEntries = 4096
-	maxNews    = 400
+	// memoryShare is the part of the memory that a log may take, and entryBytes about
+	// what one of its entries takes.
+	memoryShare = 1.0 / 32
+	entryBytes  = 128
+	// maxNewsBytes bounds what one answer carries of a log: half of what a message
+	// between controllers may hold, in any version.
+	maxNewsBytes = 128 << 10
+	// idOverhead is what a message takes for an id, besides its bytes.
+	idOverhead = 4
 )
 
 // NewLog makes the log of a process that begins now. Entries are retained until no
 // worker can have a task of theirs any more.
-func NewLog(w config.Workers, now time.Time) *Log {
-	return &Log{known: map[string]bool{}, since: now, retention: config.Seconds(w.CancelS) + 2*w.Lease()}
+func NewLog(w config.Workers, lim config.Limits, now time.Time) *Log {
+	return &Log{known: map[string]bool{}, since: now, retention: config.Seconds(w.CancelS) + 2*w.Lease(),
+		maxEntries: lim.Entries(memoryShare, entryBytes)}
 }
 
 // Add notes a cancellation. One that is known already changes nothing.
 func (l *Log) Add(id string, now time.Time) {
 	drop := 0
-	for drop < len(l.entries) && (now.Sub(l.entries[drop].at) > l.retention || len(l.entries)-drop >= maxEntries) {
+	for drop < len(l.entries) && (now.Sub(l.entries[drop].at) > l.retention || len(l.entries)-drop >= l.maxEntries) {
 		l.since = l.entries[drop].at
 		delete(l.known, l.entries[drop].id)
 		drop++
@@ -87,10 +96,12 @@
 	from := min(max(number+1, oldest), l.last+1)
 	entries := l.entries[from-oldest:]
 	n := News{First: from, Whole: now.Sub(l.since)}
-	if len(entries) > maxNews {
-		entries, n.More = entries[:maxNews], true
-	}
+	size := 0
 	for _, e := range entries {
+		if size += len(e.id) + idOverhead; size > maxNewsBytes {
+			n.More = true
+			break
+		}
 		n.IDs = append(n.IDs, e.id)
 	}
 	return n
--- a/internal/cancellation/log_test.go
+++ b/internal/cancellation/log_test.go
@@ -26,7 +26,7 @@
 	w := config.Workers{LeaseS: 10, CancelS: 30}
 	start := time.Unix(1_000_000, 0)
 	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
-	l := NewLog(w, start)
+	l := NewLog(w, config.Limits{RAMMB: 65}, start)
 	var p Reader
 	if ids := readLog(l, &p, "x", at(1)); len(ids) != 0 || !p.whole.Equal(start) || !p.until.Equal(at(1)) {
 		t.Fatalf("empty: %v %+v", ids, p)
@@ -41,20 +41,22 @@
 		t.Fatalf("again: %v %+v", ids, p)
 	}
 	// Far too many at once: they come in parts, and the last of them counts.
-	for i := range maxNews + 1 {
-		l.Add(fmt.Sprint("many-", i), at(6))
+	name := func(i int) string { return fmt.Sprintf("many-%06d", i) }
+	part := maxNewsBytes / (len(name(0)) + idOverhead)
+	for i := range part + 1 {
+		l.Add(name(i), at(6))
 	}
-	if ids := readLog(l, &p, "x", at(7)); len(ids) != maxNews || !p.until.Equal(at(5)) {
+	if ids := readLog(l, &p, "x", at(7)); len(ids) != part || !p.until.Equal(at(5)) {
 		t.Fatalf("part: %d %+v", len(ids), p)
 	}
 	if ids := readLog(l, &p, "x", at(8)); len(ids) != 1 || !p.until.Equal(at(8)) || !p.whole.Equal(start) {
 		t.Fatalf("rest: %v %+v", ids, p)
 	}
 	// More than it can hold while nobody asked: from then on it is not whole.
-	for i := range maxEntries + 5 {
+	for i := range l.maxEntries + 5 {
 		l.Add(fmt.Sprint("more-", i), at(9))
 	}
-	if len(l.entries) > maxEntries || len(l.known) != len(l.entries) {
+	if len(l.entries) > l.maxEntries || len(l.known) != len(l.entries) {
 		t.Fatalf("holds %d and %d", len(l.entries), len(l.known))
 	}
 	readLog(l, &p, "x", at(10))
@@ -63,7 +65,7 @@
 	}
 	// Old ones are forgotten, and the reader that has them is not troubled.
 	var q Reader
-	l = NewLog(w, start)
+	l = NewLog(w, config.Limits{}, start)
 	l.Add("job-1", at(1))
 	readLog(l, &q, "x", at(2))
 	l.Add("job-2", at(200))
@@ -71,7 +73,7 @@
 		t.Fatalf("old: %v %+v", ids, q)
 	}
 	// Another process has another log, though the numbers fit.
-	l = NewLog(w, at(300))
+	l = NewLog(w, config.Limits{}, at(300))
 	l.Add("job-7", at(301))
 	l.Add("job-8", at(301))
 	l.Add("job-9", at(301))
@@ -79,3 +81,18 @@
 		t.Fatalf("restarted: %v %+v", ids, q)
 	}
 }
+
+// What 4,000 machines' jobs may lose at once is one answer's news, even for a process
+// with next to no memory: their cancellations are all known after one ping.
+func TestLogOfALargeFleet(t *testing.T) {
+	const cancelled = 4000
+	start := time.Unix(1_000_000, 0)
+	l := NewLog(config.Workers{LeaseS: 10, CancelS: 30}, config.Limits{RAMMB: 3}, start)
+	for i := range cancelled {
+		l.Add(fmt.Sprintf("job-%06d", i), start)
+	}
+	var p Reader
+	if ids := readLog(l, &p, "x", start); len(ids) != cancelled || !p.whole.Equal(start) || !p.until.Equal(start) {
+		t.Errorf("%d of %d known, whole from %v", len(ids), cancelled, p.whole)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -167,6 +167,15 @@
 	FDLimit int     `json:"fd_limit"`
 }
 
+// leastEntries is what a table of machines or of what concerns them holds at the
+// least, however little memory there is: a cell may have some 4,000 machines.
+const leastEntries = 4096
+
+// Entries is how many entries of so many bytes each fit a share of the memory.
+func (l Limits) Entries(share float64, bytes int) int {
+	return max(leastEntries, int(l.RAMMB*(1<<20)*share)/bytes)
+}
+
 // Seconds turns a number of seconds into a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
--- a/internal/controller/cancelled.go
+++ b/internal/controller/cancelled.go
@@ -32,9 +32,11 @@
 	c.final.Add(id, api.JobState{ID: id, Phase: api.JobWithdrawn})
 	c.cancels.Add(id, time.Now())
 	if c.leadership != nil {
-		if j := c.leadership.jobs[id]; j != nil {
+		if j := c.leadership.jobs[id]; j != nil && !j.cancelPending {
 			c.leadership.withdraw(j)
 		}
+		// One whose cancellation follows from another's is dropped only once its
+		// own end is on record: else nobody would write that.
 		c.leadership.pipeline.cancelled(id)
 	}
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -99,8 +99,8 @@
 	return &Controller{
 		Config: cfg, records: store.NewRecords(cfg.UserStore, cfg.Settings.Site.State),
 		mail: make(chan message, 256), depose: make(chan uint64, 4), resigns: make(chan string, 4), final: final,
-		sent: map[string]time.Time{}, directed: map[string]directed{}, up: newRelayUp(),
-		reads: map[string]*readRound{}, cancels: cancellation.NewLog(cfg.Settings.Site.Workers, time.Now()), peerTable: newPeerTable(cfg.Settings.Peers, time.Now()),
+		sent: map[string]time.Time{}, directed: map[string]directed{}, up: newRelayUp(cfg.Settings.Site.Limits),
+		reads: map[string]*readRound{}, cancels: cancellation.NewLog(cfg.Settings.Site.Workers, cfg.Settings.Site.Limits, time.Now()), peerTable: newPeerTable(cfg.Settings.Peers, time.Now()),
 	}
 }
 
@@ -404,6 +404,9 @@
 // The leader's memory and the log of cancellations must not fall behind what
 // users are told: the store may be out of reach from the next moment on.
 func (m finalMsg) apply(c *Controller) {
+	if m.st.Derived {
+		return // the leader finds it by itself, and has yet to write it
+	}
 	if m.st.Phase == api.JobWithdrawn {
 		c.cancelled(m.st.ID)
 		return
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -111,9 +111,16 @@
 	returning bool
 }
 
+// returnedMemory is the part of the memory that the names of machines that are gone
+// may take, and returnedBytes about what one of them takes.
+const (
+	returnedMemory = 1.0 / 32
+	returnedBytes  = 256
+)
+
 func newLeadership(c *Controller, term election.Term, until time.Time) *leadership {
 	ctx, cancel := context.WithCancel(context.Background())
-	returned, err := lru.New[string, bool](4096)
+	returned, err := lru.New[string, bool](c.Settings.Site.Limits.Entries(returnedMemory, returnedBytes))
 	if err != nil {
 		panic(err) // only for a size that is not positive
 	}
@@ -418,8 +425,9 @@
 // manyFetches bounds the images that a machine fetches at the same time.
 const manyFetches = 4
 
-// maxTriage bounds the work of the triage.
-const maxTriage = 500
+// leastTriaged bounds the work of the triage: it looks at that many jobs, or at one for
+// each machine of a larger fleet.
+const leastTriaged = 500
 
 // triage looks again at which jobs can be in time, and puts the queues in that
 // order.
@@ -432,6 +440,7 @@
 		}
 	}
 	var loads []*queue.Load
+	most := max(leastTriaged, len(r.machines))
 	r.overlooked = 0
 	for _, t := range r.turns {
 		for _, j := range t.Items() {
@@ -441,7 +450,7 @@
 			}
 			waiting += float64(j.flight.Untaken()) * j.spec.CPUs
 			j.load = queue.Load{}
-			if j.hopeless || j.finishing || len(loads) == maxTriage {
+			if j.hopeless || j.finishing || len(loads) == most {
 				continue
 			}
 			j.load.Aim = j.latest.Add(j.spec.Estimate())
--- a/internal/controller/leaseextension.go
+++ b/internal/controller/leaseextension.go
@@ -151,8 +151,10 @@
 	return m, nil
 }
 
-// extensionRows is how many records of extended leases a leader reads, of any version.
-const extensionRows = 100
+// extensionRows is how many records of extended leases a leader reads. One of a version
+// before it read more than a hundred reads only those; values of 2 KiB and more hold
+// some 4,000 machines in fewer.
+const extensionRows = 1000
 
 // publishExtensions writes whose leases are extended here. A list that does not fit
 // one record goes on under further keys: leaders take in every record under the
@@ -283,12 +285,19 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, 2*time.Second)
 		defer cancel()
-		p, err := r.c.Store.Range(ctx, store.LeaseExtensionPrefix, "", extensionRows)
-		if err != nil {
-			r.c.Log.Debug("extended leases not read", "err", err)
-			return
+		// An answer holds no more than the service allows, so there may be several.
+		for from, left := "", extensionRows; left > 0; {
+			p, err := r.c.Store.Range(ctx, store.LeaseExtensionPrefix, from, left)
+			if err != nil {
+				r.c.Log.Debug("extended leases not read", "err", err)
+				return
+			}
+			r.post(extensionsMsg{r, p.Rows})
+			if !p.More || len(p.Rows) == 0 {
+				return
+			}
+			from, left = p.Rows[len(p.Rows)-1].Key, left-len(p.Rows)
 		}
-		r.post(extensionsMsg{r, p.Rows})
 	}()
 }
 
--- a/internal/controller/limits_relay_test.go
+++ b/internal/controller/limits_relay_test.go
@@ -69,8 +69,8 @@
 		w.neverTooLarge()
 	})
 	simulate(t, func(w *cluster) {
-		extendedBy(w, limits{3, 1, 8}, names(5000))
-		if n := len(w.keysUnder(store.LeaseExtensionPrefix)); 3*n > 100 || n < 30 {
+		w.same("extended of a large fleet", extendedBy(w, limits{3, 1, 8}, names(5000)), 5000)
+		if n := len(w.keysUnder(store.LeaseExtensionPrefix)); 3*n > extensionRows || n < 5000/100 {
 			w.t.Errorf("%d records of one node of three", n)
 		}
 		w.neverTooLarge()
--- a/internal/controller/pipeline.go
+++ b/internal/controller/pipeline.go
@@ -18,10 +18,10 @@
 // guarantee and rents nothing. When one of them is cancelled it is cancelled, too.
 //
 // The cancellation that a user is told is one guarded transaction; what follows
-// from it is derived. A leader, or the next, takes from the records which jobs
-// await a cancelled one and cancels them in steps, each of which leaves nothing
-// that the next could not be found from. While nobody leads, whoever reads such a
-// job's record does the same with it (store.Records).
+// from it is derived, by the leader in its memory and by whoever reads such a job's
+// record (store.Records), and users are told at once. The leader, or the next, also
+// writes it: in steps within the write rate, each of which leaves nothing that the
+// next could not be found from.
 type pipeline struct {
 	leadership *leadership
 	// dependents are the jobs that wait, by what they wait for.
@@ -33,6 +33,9 @@
 	// of all of them at a time.
 	lookups   []string
 	lookingUp bool
+	// unknown is how many rounds of lookups wait for jobs that are active but have not
+	// come with the watch yet.
+	unknown int
 }
 
 func (p *pipeline) init(r *leadership) {
@@ -325,6 +328,7 @@
 	}
 	if len(unknown) > 0 {
 		// Active, and not known here yet: the watch will tell.
+		p.unknown++
 		time.AfterFunc(time.Second, func() { m.leadership.post(lookupAgainMsg{m.leadership, unknown}) })
 	}
 	p.lookupNext()
@@ -354,6 +358,7 @@
 		return
 	}
 	p := &m.leadership.pipeline
+	p.unknown--
 	for _, id := range m.ids {
 		if len(p.dependents[id]) > 0 && m.leadership.jobs[id] == nil {
 			p.lookups = append(p.lookups, id)
@@ -362,6 +367,13 @@
 	p.lookupNext()
 }
 
+// unresolved tells whether it is still being read what some jobs await, or how that
+// ended. Until then a job may need a cancelled one without this leader knowing.
+func (p *pipeline) unresolved() bool {
+	lists := &p.leadership.awaitsLists
+	return p.lookingUp || len(p.lookups) > 0 || p.unknown > 0 || lists.reading || len(lists.unread) > 0
+}
+
 // waitsFor lists what a job waits for, for its user.
 func (j *job) waitsFor() []string {
 	var ids []string
--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -223,8 +223,19 @@
 	if st, ok := r.c.final.Get(id); ok {
 		return pollReply{st: st, answered: true}
 	}
-	if j := r.jobs[id]; j != nil && !j.ending {
-		return pollReply{st: j.state(), answered: true}
-	}
-	return pollReply{} // the store knows
+	j := r.jobs[id]
+	switch {
+	case j == nil:
+		return pollReply{} // the store knows
+	case j.cancelPending:
+		// One that it needs is cancelled on record, and that stays so. However many
+		// jobs follow from one cancellation, their users need not wait for the
+		// write rate.
+		return pollReply{st: api.JobState{ID: id, Phase: api.JobWithdrawn, Derived: true}, answered: true}
+	case j.ending, len(j.awaits) > 0 && r.pipeline.unresolved():
+		// In the second case one that it needs may be cancelled, and an earlier
+		// leader or another node may have told so.
+		return pollReply{}
+	}
+	return pollReply{st: j.state(), answered: true}
 }
--- a/internal/controller/recorder.go
+++ b/internal/controller/recorder.go
@@ -403,7 +403,9 @@
 		r.finished(j)
 	}
 	for _, j := range b.derivedCancels {
-		r.c.cancelled(j.spec.ID)
+		if !j.over {
+			r.withdraw(j)
+		}
 	}
 	w.written(b)
 	for _, p := range b.progressed {
@@ -501,7 +503,7 @@
 	switch {
 	case m.found && m.st.Phase == api.JobDone:
 		r.finished(j)
-	case m.found && m.st.Phase == api.JobWithdrawn:
+	case m.found && m.st.Phase == api.JobWithdrawn && !m.st.Derived:
 		r.withdraw(j)
 	case j.cancelPending:
 		r.pipeline.pendingCancels = append(r.pipeline.pendingCancels, j)
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -46,8 +46,10 @@
 	relayWait   = 1500 * time.Millisecond
 	// outcomeWithin is how long the outcome of orders is waited for.
 	outcomeWithin = 20 * time.Second
-	// maxRelayed bounds the machines that are remembered.
-	maxRelayed = 2000
+	// relayMemory is the part of the memory that the machines whose reports are
+	// relayed may take, and relayedBytes about what one of them takes.
+	relayMemory  = 1.0 / 8
+	relayedBytes = 2 << 10
 )
 
 // relayUp is the node's side.
@@ -58,6 +60,8 @@
 	busy        bool
 	next        time.Time
 	machines    map[string]*relayed
+	// maxMachines bounds the machines that are remembered.
+	maxMachines int
 	// halved is how often a batch was refused as too large.
 	halved int
 	// cleared is set once no record of an earlier process can stand beside a batch.
@@ -85,8 +89,8 @@
 	toldIn  uint64
 }
 
-func newRelayUp() relayUp {
-	return relayUp{incarnation: rand.Text(), machines: map[string]*relayed{}}
+func newRelayUp(lim config.Limits) relayUp {
+	return relayUp{incarnation: rand.Text(), machines: map[string]*relayed{}, maxMachines: lim.Entries(relayMemory, relayedBytes)}
 }
 
 // note stores a report that is answered here in place of the leader, and adds the
@@ -94,7 +98,7 @@
 func (u *relayUp) note(c *Controller, rep *api.Report, ans *api.ReportAnswer, now time.Time) {
 	m := u.machines[rep.Machine]
 	if m == nil {
-		if len(u.machines) >= maxRelayed {
+		if len(u.machines) >= u.maxMachines {
 			return
 		}
 		m = &relayed{}
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/config"
 	"example.org/ivytrestle/internal/peer"
 )
 
@@ -24,7 +25,7 @@
 		"too old":              {1, 12, 3, relayOrderLife + time.Millisecond, 0},
 		"the report they meet": {1, 11, 3, time.Second, 11},
 	} {
-		u := newRelayUp()
+		u := newRelayUp(config.Limits{})
 		u.machines["i-1"] = &relayed{rep: &api.Report{Machine: "i-1", Session: 1, Seq: 10}, session: 1, base: 10, term: 3, since: t0,
 			orders: []api.Order{{Verb: api.VerbStart, Task: "job-1/0", Attempt: 5}}}
 		for i := range 2 {
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -134,7 +134,9 @@
 func (r *leadership) whyWaits(j *job, now time.Time) string {
 	s := &j.spec
 	switch {
-	case j.cancelPending || len(j.awaits) > 0:
+	case j.cancelPending:
+		return "cancelled with another"
+	case len(j.awaits) > 0:
 		return "awaits others"
 	case now.Before(j.heldUntil):
 		return "fails everywhere"
--- a/internal/store/records.go
+++ b/internal/store/records.go
@@ -142,6 +142,9 @@
 	// what takes much memory. All may be nil.
 	ends             *lru.Cache[string, FinalRecord]
 	scans, longLists chan struct{}
+	// derivedWrites bounds the cancellations that are written as they follow from
+	// others; nil: none is.
+	derivedWrites chan struct{}
 	// cache may be nil.
 	cache *jobCache
 }
@@ -156,7 +159,8 @@
 		panic(err) // only for a size that is not positive
 	}
 	return Records{Store: s, Limits: lim, ends: ends,
-		scans: make(chan struct{}, mostScans), longLists: make(chan struct{}, mostLongLists), cache: newJobCache(lim)}
+		scans: make(chan struct{}, mostScans), longLists: make(chan struct{}, mostLongLists),
+		derivedWrites: make(chan struct{}, 1), cache: newJobCache(lim)}
 }
 
 // tryTimeout bounds one request to the service on a user's behalf. What takes two
@@ -245,12 +249,30 @@
 		return api.JobState{}, false, err
 	}
 	if pending {
-		// While nobody leads, nobody else does this.
-		return r.Cancel(ctx, id)
+		return r.deriveCancelled(ctx, id), true, nil
 	}
 	return api.JobState{ID: id, Phase: api.JobPending}, true, nil
 }
 
+// deriveCancelled returns the state of a job that needs a cancelled one. All who read the
+// records come to it, whether or not it is written yet: a cancelled job stays cancelled,
+// and what needs it never begins. While nobody leads, or a leader that knows nothing of
+// awaited jobs, nobody else writes it; but one at a time, so that thousands of such jobs
+// leave submissions their part of the write rate.
+func (r *Records) deriveCancelled(ctx context.Context, id string) api.JobState {
+	select {
+	case r.derivedWrites <- struct{}{}:
+		go func() {
+			defer func() { <-r.derivedWrites }()
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), tryTimeout)
+			defer cancel()
+			r.Cancel(ctx, id) // what fails is tried again when somebody asks again
+		}()
+	default:
+	}
+	return api.JobState{ID: id, Phase: api.JobWithdrawn, Derived: true}
+}
+
 // stillWaits tells whether a job that awaits others is active and nothing that it needs
 // is over: one comparison shows it, if this node has read or written their records.
 // Otherwise it returns false, and all is to be read.
