--- a/internal/api/wire.go
+++ b/internal/api/wire.go
@@ -302,6 +302,8 @@
 	Running int    `json:"running"`
 	// Awaits are the jobs that an unfinished job waits for.
 	Awaits []string `json:"Awaits,omitempty"`
+	// Cell is the cell that the job is lent to, if it is.
+	Cell string `json:"Cell,omitempty"`
 	// Ended is when the job was done, if that is known. Users are not told.
 	Ended time.Time `json:"-"`
 	// Derived is set if the job is cancelled since one that it needs is, and may have
--- a/internal/controller/cancelled.go
+++ b/internal/controller/cancelled.go
@@ -5,6 +5,7 @@
 
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/config"
+	"example.org/ivytrestle/internal/loan"
 )
 
 // To renew a worker's lease is to let its tasks run for a lease longer. So a
@@ -41,6 +42,12 @@
 	}
 }
 
+// knownCancelled tells whether a job, or a guest under its mark, is known to be cancelled.
+func (c *Controller) knownCancelled(id string) bool {
+	st, ok := c.final.Peek(id)
+	return ok && st.Phase == api.JobWithdrawn
+}
+
 // stopCancelled are the orders that stop the tasks in a report whose jobs are
 // over as far as this node knows.
 func (c *Controller) stopCancelled(rep *api.Report, over func(id string) bool) []api.Order {
@@ -50,7 +57,7 @@
 			continue
 		}
 		id, _, _ := splitRef(t.Task)
-		if st, ok := c.final.Peek(id); !(ok && st.Phase == api.JobWithdrawn) && (over == nil || !over(id)) {
+		if !c.knownCancelled(id) && !c.knownCancelled(loan.GuestMark+id) && (over == nil || !over(id)) {
 			continue
 		}
 		grace := 0.0
--- a/internal/controller/constrained.go
+++ b/internal/controller/constrained.go
@@ -44,7 +44,7 @@
 		demand.cpus += cpus
 	}
 	patience := 2 * f.r.c.Settings.Site.Workers.Report()
-	for _, team := range f.r.turns {
+	for _, team := range f.r.allTeams() {
 		room := team.CPUsMax - team.UsedCPUs
 		for _, j := range team.Items() {
 			cpus := min(float64(j.flight.Untaken())*j.spec.CPUs, room)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -15,6 +15,7 @@
 
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/cancellation"
+	"example.org/ivytrestle/internal/cells"
 	"example.org/ivytrestle/internal/cloud"
 	"example.org/ivytrestle/internal/config"
 	"example.org/ivytrestle/internal/election"
@@ -52,6 +53,10 @@
 	Prober    Prober
 	Director  Director
 	Log       *slog.Logger
+	// Cells are the cells that lend each other capacity, and Link the way to them; nil:
+	// there are none.
+	Cells *cells.Settings
+	Link  CellLink
 }
 
 // Controller is one node's state and its owner.
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/cells"
 	"example.org/ivytrestle/internal/cloud"
 	"example.org/ivytrestle/internal/config"
 	"example.org/ivytrestle/internal/election"
@@ -93,6 +94,9 @@
 	// state are the service's limits as the nodes know them; none: those of a
 	// usual site.
 	state config.StateLimits
+	// cells and link are set if there are other cells.
+	cells *cells.Settings
+	link  CellLink
 	// zones are the nodes' zones.
 	zones map[string]string
 	// dead are the machines that do not answer when asked directly, and tardy
@@ -247,7 +251,7 @@
 		}
 	}
 	log := slog.New(slog.DiscardHandler)
-	c := New(Config{Settings: s, Policy: pol, Store: st, Cloud: w.cloud, Peers: peers, Prober: w, Director: w.director, Log: log})
+	c := New(Config{Settings: s, Policy: pol, Store: st, Cloud: w.cloud, Peers: peers, Prober: w, Director: w.director, Log: log, Cells: w.cells, Link: w.link})
 	ctx, cancel := context.WithCancel(context.Background())
 	cand := &election.Candidate{Node: name, Incarnation: fmt.Sprint(time.Now().UnixNano()), Store: st,
 		Lease: pol.LeaderLease, Renew: 3 * time.Second, Observer: c, Log: log, Depose: c.Depose(), Resigned: c.Resigns()}
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -59,6 +59,7 @@
 	pipeline pipeline
 	// awaitsLists are the records that list awaited jobs.
 	awaitsLists awaitsLists
+	loans       loans
 	down        relayDown
 	recorder    recorder
 	provisioner provisioner
@@ -139,6 +140,7 @@
 	r.recorder.init(r)
 	r.pipeline.init(r)
 	r.awaitsLists.leadership = r
+	r.loans.init(r)
 	r.provisioner.init(r)
 	for _, t := range c.Settings.Site.Teams {
 		q := &queue.Team[*job]{Name: t.Name, CPUs: t.CPUs, CPUsMax: t.CPUsMax, GPUs: t.GPUs, GPUsMax: t.GPUsMax,
@@ -264,7 +266,7 @@
 			// was ended by another leader, of which the election has not yet
 			// told: how it ended is not known here.
 			id := e.Delete[len(store.ActivePrefix):]
-			if j := r.jobs[id]; j != nil && !j.finishing && !j.cancelPending && e.Mark > j.mark {
+			if j := r.jobs[id]; j != nil && !j.finishing && !j.cancelPending && !j.handover && e.Mark > j.mark {
 				r.depose()
 				return
 			}
@@ -274,7 +276,8 @@
 
 func (r *leadership) addJob(key string, value []byte, mark uint64) {
 	id := key[len(store.ActivePrefix):]
-	if _, ok := r.c.final.Get(id); ok || r.jobs[id] != nil {
+	j := r.jobs[id]
+	if _, ok := r.c.final.Get(id); ok || j != nil && j.mark >= mark {
 		return
 	}
 	var rec store.ActiveRecord
@@ -282,20 +285,31 @@
 		r.c.Log.Error("job record", "key", key, "err", err)
 		return
 	}
+	if j != nil {
+		r.applyLoan(j, rec, mark)
+		return
+	}
 	r.addRecord(key, rec, mark)
 }
 
 func (r *leadership) addRecord(key string, rec store.ActiveRecord, mark uint64) {
-	id := rec.Spec.ID
-	team := r.teams[rec.Spec.Team]
-	if team == nil || rec.Spec.Tasks < 1 {
-		r.c.Log.Error("job record", "key", key, "team", rec.Spec.Team, "tasks", rec.Spec.Tasks)
+	spec, since, team := rec.Spec, rec.Accepted, r.teams[rec.Spec.Team]
+	switch {
+	case rec.Lent != nil:
+		spec, since, team = rec.Lent.Spec, rec.Lent.Since, r.teams[rec.Lent.Spec.Team]
+	case rec.Guest != nil:
+		spec, since, team = rec.Guest.Spec, rec.Guest.Since, r.loans.guestTeam(rec.Guest.Home)
+	}
+	id := spec.ID
+	if team == nil || spec.Tasks < 1 {
+		r.c.Log.Error("job record", "key", key, "team", spec.Team, "tasks", spec.Tasks)
 		return
 	}
-	n := uint(rec.Spec.Tasks)
+	n := uint(spec.Tasks)
 	j := &job{
-		spec: rec.Spec, awaitsList: rec.Awaits, mark: mark, accepted: rec.Accepted, since: rec.Accepted, waiting: time.Now(), rank: api.PriorityRank(rec.Spec.Priority), preference: r.c.Policy.Preferences[rec.Spec.Class], team: team,
-		flight: flight.New(rec.Spec.Tasks), live: map[int]*attempt{},
+		spec: spec, awaitsList: rec.Awaits, mark: mark, accepted: rec.Accepted, since: since, waiting: time.Now(), rank: api.PriorityRank(spec.Priority), preference: r.c.Policy.Preferences[spec.Class], team: team,
+		guest: rec.Guest, lends: rec.Lends,
+		flight: flight.New(spec.Tasks), live: map[int]*attempt{},
 		done: bitset.New(n), durable: bitset.New(n), chunks: map[int]bool{},
 		runs: jobRuns{by: map[string]*runs{}}, zones: map[string]int{}, restarted: map[int]bool{}, barred: map[int]string{}, errors: map[string]int{},
 	}
@@ -303,6 +317,8 @@
 	j.look(time.Now())
 	r.jobs[id] = j
 	switch {
+	case rec.Lent != nil:
+		r.loans.lent(j, rec.Lent)
 	case len(j.spec.Awaits) == 0:
 		team.Add(j)
 		r.dispatchUntil = time.Now().Add(dispatchFor)
@@ -371,6 +387,7 @@
 	j.dirty = false
 	delete(r.jobs, j.spec.ID)
 	r.pipeline.forget(j)
+	r.loans.release(j)
 	j.team.Remove(j)
 }
 
@@ -389,6 +406,10 @@
 	if j.over {
 		return
 	}
+	if j.doneCount == j.spec.Tasks && j.guest != nil {
+		r.loans.guestDone(j)
+		return
+	}
 	if j.doneCount == j.spec.Tasks {
 		r.recorder.finish(j)
 		return
@@ -404,6 +425,7 @@
 	}
 	r.confirm.start()
 	r.recorder.flush(now)
+	r.loans.tick(now)
 	if !r.mayRenewLeases(now) || r.deaf(now) {
 		return
 	}
--- /dev/null
+++ b/internal/controller/loans.go
@@ -0,0 +1,331 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	iradix "github.com/hashicorp/go-immutable-radix/v2"
+	"golang.org/x/time/rate"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/loan"
+	"example.org/ivytrestle/internal/queue"
+	"example.org/ivytrestle/internal/store"
+)
+
+// CellLink is the way to other cells.
+type CellLink interface {
+	// Loans tells a cell's leader of the loans to that cell.
+	Loans(ctx context.Context, cell string, req *loan.Request) (*loan.Answer, error)
+}
+
+// loans are the jobs that the leader's cell has lent to others, and those that it runs
+// for others. docs/spillover.md explains how a job moves.
+type loans struct {
+	leadership *leadership
+	// count numbers this leader's loans.
+	count uint32
+	// neighbours are the cells that jobs may be lent to.
+	neighbours map[string]*neighbour
+	// floors and ends are this cell's records about the guests of each home cell.
+	floors map[string]loanFloor
+	ends   *iradix.Tree[loanEnd]
+	// guestTeams are the queues of guests, one for each home cell, and guestTurns the
+	// same in the order in which they are served.
+	guestTeams map[string]*queue.Team[*job]
+	guestTurns []*queue.Team[*job]
+
+	queue   []*loanChange
+	busy    bool
+	limiter *rate.Limiter
+	// changing are the jobs, by home cell and name, with a change that is queued or on
+	// its way.
+	changing map[string]bool
+	// taken are names that this cell's records were found to know.
+	taken map[string]bool
+	// logged holds what was said of refused requests, each once.
+	logged map[string]bool
+	// shortSince is since when a team's guarantee lacks room that guests use.
+	shortSince time.Time
+	nextScan   time.Time
+}
+
+// loanFloor is the floor of a home cell's loans with the version of its record.
+type loanFloor struct {
+	epoch loan.Epoch
+	mark  uint64
+}
+
+// loanEnd is how a guest ended, with the version of its record.
+type loanEnd struct {
+	loan.End
+	home, job string
+	mark      uint64
+}
+
+// loanWriteShare is the part of the write rate that changes of loans may take.
+const loanWriteShare = 0.1
+
+func (l *loans) init(r *leadership) {
+	*l = loans{leadership: r, neighbours: map[string]*neighbour{}, floors: map[string]loanFloor{}, ends: iradix.New[loanEnd](),
+		guestTeams: map[string]*queue.Team[*job]{}, changing: map[string]bool{}, taken: map[string]bool{}, logged: map[string]bool{},
+		limiter: rate.NewLimiter(rate.Limit(r.c.Settings.Site.State.WriteRPS*loanWriteShare), mostLoanOps)}
+	if r.c.Cells == nil {
+		return
+	}
+	for _, n := range r.c.Cells.Neighbours {
+		l.neighbours[n.Cell] = &neighbour{cell: n.Cell, lost: n.Lost, forget: map[string]loan.Epoch{}}
+	}
+}
+
+// mostLoanNames bounds what is remembered of refused loans.
+const mostLoanNames = 4096
+
+// mostLoanOps is what the largest change of a loan takes.
+const mostLoanOps = 3
+
+// enabled tells whether new loans may be made and accepted: only once every node of the
+// cell has told that it knows of them.
+func (l *loans) enabled() bool {
+	if l.leadership.c.Cells == nil {
+		return false
+	}
+	for _, n := range l.leadership.c.peerTable.nodes {
+		if !n.KnowsLoans {
+			return false
+		}
+	}
+	return true
+}
+
+// tick is called once a tick of the leader.
+func (l *loans) tick(now time.Time) {
+	l.writeNext(now)
+	if l.leadership.c.Cells == nil {
+		return
+	}
+	l.exchange(now)
+	if now.Before(l.nextScan) {
+		return
+	}
+	l.nextScan = now.Add(time.Second)
+	l.scanHome(now)
+	l.scanHost(now)
+}
+
+// loanChange is a change of a loan's records.
+type loanChange struct {
+	home, job string
+	// build makes the transaction, when its turn has come, from what is known then; it
+	// returns false if the change has become needless.
+	build func() (store.Txn, bool)
+	// done takes in that it was carried out, at a revision.
+	done func(ring uint64)
+}
+
+func loanName(home, job string) string { return home + "/" + job }
+
+// change queues a change. It returns false if there is one of that job already, whose
+// outcome decides what comes next.
+func (l *loans) change(c *loanChange) bool {
+	name := loanName(c.home, c.job)
+	if l.changing[name] {
+		return false
+	}
+	l.changing[name] = true
+	l.queue = append(l.queue, c)
+	return true
+}
+
+// writeNext starts the next change if the write rate allows.
+func (l *loans) writeNext(now time.Time) {
+	for !l.busy && len(l.queue) > 0 {
+		c := l.queue[0]
+		txn, needed := c.build()
+		if !needed {
+			l.queue = l.queue[1:]
+			delete(l.changing, loanName(c.home, c.job))
+			continue
+		}
+		if !l.limiter.AllowN(now, len(txn.Ops)) {
+			return
+		}
+		l.queue = l.queue[1:]
+		l.busy = true
+		txn.Records = true
+		go l.write(c, txn)
+	}
+}
+
+// loanRetry is how long after a failure a transaction is sent again.
+const loanRetry = 300 * time.Millisecond
+
+// write sends a transaction until its outcome is known. One that may yet be carried out
+// is never left alone: what is decided next would rest on its not being so.
+func (l *loans) write(c *loanChange, txn store.Txn) {
+	r := l.leadership
+	for r.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(r.ctx, 2*time.Second)
+		res, err := r.c.Store.Txn(ctx, txn)
+		cancel()
+		if err == nil {
+			r.post(loanWrittenMsg{r, c, res})
+			return
+		}
+		r.c.Log.Debug("loan not written", "job", c.job, "home", c.home, "err", err)
+		if errors.Is(err, store.ErrMalformed) {
+			r.post(loanWrittenMsg{r, c, store.Result{}})
+			return
+		}
+		pause(r.ctx, loanRetry)
+	}
+}
+
+type loanWrittenMsg struct {
+	leadership *leadership
+	change     *loanChange
+	res        store.Result
+}
+
+func (m loanWrittenMsg) apply(c *Controller) {
+	r := m.leadership
+	if c.leadership != r {
+		return
+	}
+	l := &r.loans
+	switch {
+	case m.res.OK:
+		l.finished(m.change)
+		m.change.done(m.res.Ring)
+	case r.superseded(m.res):
+		return
+	default:
+		// By an earlier try whose answer was lost, or since something else has
+		// changed: the records tell.
+		go l.read(m.change)
+		return
+	}
+	l.writeNext(time.Now())
+}
+
+// finished lets the next change have its turn.
+func (l *loans) finished(c *loanChange) {
+	l.busy = false
+	delete(l.changing, loanName(c.home, c.job))
+}
+
+// read reads all records that a change is about.
+func (l *loans) read(c *loanChange) {
+	r := l.leadership
+	keys := []string{store.ActivePrefix + c.job, loan.EndKey(c.home, c.job), loan.FloorKey(c.home)}
+	for r.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(r.ctx, 4*time.Second)
+		entries, err := getAll(ctx, r.c.Store, keys)
+		records := store.Records{Store: r.c.Store}
+		var final api.JobState
+		var isFinal bool
+		if err == nil {
+			final, isFinal, err = records.Final(ctx, c.job)
+		}
+		cancel()
+		if err == nil {
+			r.post(loanReadMsg{r, c, entries[0], entries[1], entries[2], final, isFinal})
+			return
+		}
+		pause(r.ctx, loanRetry)
+	}
+}
+
+func getAll(ctx context.Context, st store.Service, keys []string) (entries []store.Entry, err error) {
+	for _, key := range keys {
+		e, err := st.Get(ctx, key)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, e)
+	}
+	return entries, nil
+}
+
+// loanReadMsg brings the records that a change is about.
+type loanReadMsg struct {
+	leadership         *leadership
+	change             *loanChange
+	active, end, floor store.Entry
+	final              api.JobState
+	isFinal            bool
+}
+
+func (m loanReadMsg) apply(c *Controller) {
+	r := m.leadership
+	if c.leadership != r {
+		return
+	}
+	l := &r.loans
+	l.finished(m.change)
+	l.addRecord(m.floor)
+	if m.end.Mark == 0 {
+		l.ends, _, _ = l.ends.Delete([]byte(loanName(m.change.home, m.change.job)))
+	} else {
+		l.addRecord(m.end)
+	}
+	if m.isFinal && len(l.taken) < mostLoanNames {
+		l.taken[m.change.job] = true
+	}
+	j := r.jobs[m.change.job]
+	if j != nil {
+		j.handover = false
+	}
+	switch {
+	case m.active.Mark != 0:
+		r.addJob(m.active.Key, m.active.Value, m.active.Mark)
+	case j == nil:
+	case j.guest != nil:
+		l.guestOver(j, m.end)
+	case m.isFinal && m.final.Phase == api.JobDone:
+		r.finished(j)
+	case m.isFinal:
+		r.withdraw(j)
+	}
+	l.writeNext(time.Now())
+}
+
+// addRecord takes in one of the cell's records about guests.
+func (l *loans) addRecord(e store.Entry) {
+	if e.Mark == 0 {
+		return
+	}
+	var err error
+	if home, ok := strings.CutPrefix(e.Key, loan.FloorKey("")); ok {
+		var floor loan.Floor
+		if err = json.Unmarshal(e.Value, &floor); err == nil && e.Mark >= l.floors[home].mark {
+			l.floors[home] = loanFloor{floor.Epoch, e.Mark}
+		}
+	} else if home, job, ok := strings.Cut(strings.TrimPrefix(e.Key, loan.Prefix+"end/"), "/"); ok {
+		end := loanEnd{home: home, job: job, mark: e.Mark}
+		if err = json.Unmarshal(e.Value, &end.End); err == nil {
+			l.ends, _, _ = l.ends.Insert([]byte(loanName(home, job)), end)
+		}
+	}
+	if err != nil {
+		l.leadership.c.Log.Error("loan record", "key", e.Key, "err", err)
+	}
+}
+
+// applyLoan takes in what a job's record says of loans. It is called for each newer
+// version of the record, whoever wrote it.
+func (r *leadership) applyLoan(j *job, rec store.ActiveRecord, mark uint64) {
+	if mark <= j.mark {
+		return
+	}
+	j.mark, j.lends = mark, rec.Lends
+	switch {
+	case rec.Lent != nil:
+		r.loans.lent(j, rec.Lent)
+	case j.lent != nil:
+		r.loans.takenBack(j)
+	}
+}
--- /dev/null
+++ b/internal/controller/loanshome.go
@@ -0,0 +1,485 @@
+package controller
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/config"
+	"example.org/ivytrestle/internal/loan"
+	"example.org/ivytrestle/internal/queue"
+	"example.org/ivytrestle/internal/store"
+)
+
+// neighbour is a cell that jobs may be lent to, as its last answer has it.
+type neighbour struct {
+	cell string
+	// lost says that the operators have given the cell up.
+	lost bool
+	busy bool
+	next time.Time
+	// heard is when it last answered, and delay how long that took.
+	heard  time.Time
+	delay  time.Duration
+	advert loan.Advert
+	// lastError is why it did not, and refused why it would not; failing is since when.
+	lastError string
+	failing   time.Time
+	// forget are loans that it names and that are settled here.
+	forget map[string]loan.Epoch
+}
+
+const (
+	exchangeEvery   = time.Second
+	exchangeTimeout = 2 * time.Second
+	// advertLife is how long a cell's word on what it has to spare is relied on.
+	advertLife = 4 * time.Second
+	// mostOffers bounds the offers to a cell that are not answered, and mostRecalls the
+	// loans that are wanted back at a time.
+	mostOffers  = 4
+	mostRecalls = 4
+	// transferTime is what the transactions on both sides take.
+	transferTime = time.Second
+)
+
+// lent takes in that a job is lent, by its record.
+func (l *loans) lent(j *job, record *loan.Lent) {
+	if j.lent == nil || j.lent.Epoch != record.Epoch {
+		j.remote = loan.State{}
+		j.wantBack = false
+	}
+	j.handover = false
+	l.reserve(j, record.Grant)
+	j.lent = record
+	j.team.Remove(j)
+	if n := l.neighbours[record.Host]; n != nil {
+		n.next = time.Time{}
+	}
+}
+
+// takenBack takes in that a job is this cell's own again.
+func (l *loans) takenBack(j *job) {
+	l.leadership.c.Log.Info("loan taken back", "job", j.spec.ID, "from", j.lent.Host, "reason", j.remote.Reason)
+	if j.lentBefore == nil {
+		j.lentBefore = map[string]time.Time{}
+	}
+	j.lentBefore[j.lent.Host] = time.Now()
+	j.lent, j.handover, j.wantBack = nil, false, false
+	l.release(j)
+	l.requeue(j)
+}
+
+// requeue puts a job that this cell owns back into its team's queue.
+func (l *loans) requeue(j *job) {
+	j.waiting = time.Now()
+	j.team.Remove(j)
+	j.team.Add(j)
+	l.leadership.dispatchUntil = j.waiting.Add(dispatchFor)
+}
+
+// reserve counts a loan's grant as used by its team, and release no more.
+func (l *loans) reserve(j *job, grant loan.Grant) {
+	l.release(j)
+	j.reserved = grant
+	j.team.UsedCPUs += grant.CPUs
+	j.team.UsedGPUs += grant.GPUs
+}
+
+func (l *loans) release(j *job) {
+	j.team.UsedCPUs -= j.reserved.CPUs
+	j.team.UsedGPUs -= j.reserved.GPUs
+	j.reserved = loan.Grant{}
+}
+
+// scanHome looks once a second at what to lend and what to take back.
+func (l *loans) scanHome(now time.Time) {
+	r := l.leadership
+	waits := l.predictedStarts(now)
+	l.recall(waits, now)
+	if !l.enabled() || r.unheard > 0 || !r.mayStart(now) {
+		return
+	}
+	for _, n := range l.neighbours {
+		if n.lost || now.Sub(n.heard) > advertLife || !n.advert.Accepting || n.advert.CancelS > r.c.Settings.Site.Workers.CancelS {
+			continue
+		}
+		l.lendTo(n, waits, now)
+	}
+}
+
+// predictedStart is when a job of the queue is expected to begin here.
+type predictedStart struct {
+	job  *job
+	wait time.Duration
+}
+
+// predictedStarts goes through what waits in the order in which it is served, and sums up
+// the work before each job by the CPUs there are.
+func (l *loans) predictedStarts(now time.Time) []predictedStart {
+	r := l.leadership
+	cpus, free, work := 0.0, 0.0, 0.0
+	for _, m := range r.machines {
+		if !m.open(now) {
+			continue
+		}
+		cpus += m.cpus
+		free += m.freeCPUs()
+		for _, a := range m.attempts {
+			if a.job != nil && !a.exited {
+				left := a.job.spec.Estimate()
+				if !a.runningAt.IsZero() {
+					left -= now.Sub(a.runningAt)
+				}
+				work += a.job.spec.CPUs * max(0, left.Seconds())
+			}
+		}
+	}
+	var jobs []*job
+	for _, t := range r.turns {
+		for _, j := range t.Items() {
+			if j.flight.Untaken() > 0 && !j.finishing {
+				jobs = append(jobs, j)
+			}
+		}
+	}
+	slices.SortStableFunc(jobs, func(a, b *job) int {
+		switch {
+		case queue.Before(a, b):
+			return -1
+		case queue.Before(b, a):
+			return 1
+		}
+		return 0
+	})
+	latest := time.Duration(1<<62 - 1)
+	if len(r.provisioner.offers(now)) > 0 {
+		latest = r.provisioner.longestBoot() + r.c.Settings.Site.Workers.Report()
+	}
+	out := make([]predictedStart, 0, len(jobs))
+	for _, j := range jobs {
+		want := float64(j.flight.Untaken()) * j.spec.CPUs
+		out = append(out, predictedStart{j, min(loan.PredictedWait(work, cpus, free), latest)})
+		free -= want
+		work += want * j.spec.EstimateS
+	}
+	return out
+}
+
+// lendTo offers a neighbour the jobs that would gain most by it.
+func (l *loans) lendTo(n *neighbour, waits []predictedStart, now time.Time) {
+	out, offers := 0, 0
+	for _, j := range l.leadership.jobs {
+		switch {
+		case j.lent != nil && j.lent.Host == n.cell:
+			if out++; j.remote.Phase == loan.PhaseUnknown {
+				offers++
+			}
+		case j.handover:
+			offers++
+		}
+	}
+	policy := &l.leadership.c.Policy.Spill
+	spare := n.advert.CPUs
+	for i := len(waits) - 1; i >= 0 && out < l.leadership.c.Cells.MaxLoans && offers < mostOffers; i-- {
+		j := waits[i].job
+		there := n.delay + transferTime + fetchTime(&j.spec, n.advert.Types)
+		if waits[i].wait-there < policy.Gain || now.Sub(j.since) < policy.After || spare < j.spec.CPUs || !l.lendable(j, n, now) {
+			continue
+		}
+		grant := l.grant(j, spare)
+		if grant.CPUs < j.spec.CPUs {
+			continue
+		}
+		spare -= grant.CPUs
+		out++
+		offers++
+		l.lend(j, n, grant)
+	}
+}
+
+// lendable tells whether a job may be lent to a neighbour at all.
+func (l *loans) lendable(j *job, n *neighbour, now time.Time) bool {
+	r := l.leadership
+	policy := &r.c.Policy.Spill
+	switch {
+	case j.lent != nil || j.guest != nil || j.handover || j.over || j.finishing || j.cancelPending || len(j.awaits) > 0:
+		return false
+	case l.changing[loanName(r.c.Cells.Cell, j.spec.ID)]:
+		return false // what the watch has shown already is yet to be answered
+	case j.begun() || j.lost > 0 || j.done.Any() || len(j.chunks) > 0:
+		return false
+	case !store.FitsRecord(store.ActiveRecord{Lent: &loan.Lent{Host: n.cell, Spec: j.spec}}, r.c.Settings.Site.State.ValueKB):
+		return false
+	case j.lends >= policy.Lends || now.Sub(j.lentBefore[n.cell]) < policy.Cooldown:
+		return false
+	}
+	for _, t := range n.advert.Types {
+		if typeAllowed(&j.spec, t.Name) && zoneAllowed(&j.spec, t.Zones) &&
+			j.spec.CPUs <= t.CPUs+slack && j.spec.GPUs <= t.GPUs+slack && j.spec.MemoryGB <= t.MemoryGB+slack {
+			return true
+		}
+	}
+	return false
+}
+
+// grant is what a loan may use at a time: what the job wants, what its team may have, and
+// what there is to spare, in whole tasks.
+func (l *loans) grant(j *job, spare float64) loan.Grant {
+	s := &j.spec
+	r := l.leadership
+	tasks := 0
+	for tasks < s.Tasks && float64(tasks+1)*s.CPUs <= spare+slack &&
+		j.team.Allowed(float64(tasks+1)*s.CPUs, float64(tasks+1)*s.GPUs, r.unheardCPUs+r.foreignCPUs, r.unheardGPUs) {
+		tasks++
+		if s.CPUs <= 0 {
+			break
+		}
+	}
+	return loan.Grant{CPUs: float64(tasks) * s.CPUs, GPUs: float64(tasks) * s.GPUs}
+}
+
+// fetchTime is how long the slowest type of machine needs to fetch a job's image.
+func fetchTime(s *api.JobSpec, types []loan.MachineType) time.Duration {
+	longest := 0.0
+	for _, t := range types {
+		if t.FetchGBs > 0 {
+			longest = max(longest, s.ImageGB/t.FetchGBs)
+		}
+	}
+	return config.Seconds(longest)
+}
+
+// lend puts on record that a job is lent. From now on nothing of it starts here.
+func (l *loans) lend(j *job, n *neighbour, grant loan.Grant) {
+	r := l.leadership
+	l.count++
+	spec := j.spec
+	spec.Awaits = nil
+	record := &loan.Lent{Host: n.cell, Epoch: loan.NewEpoch(r.term.Number, l.count), Spec: spec, Grant: grant, Since: j.since.UTC()}
+	j.team.Remove(j)
+	l.reserve(j, grant)
+	r.c.Log.Info("loan", "job", spec.ID, "class", spec.Class, "to", n.cell, "epoch", record.Epoch, "cpus", grant.CPUs)
+	active := store.ActiveRecord{Accepted: j.accepted, Lent: record, Lends: j.lends + 1}
+	l.changeActive(j, active)
+}
+
+// changeActive puts another record in the place of a job's active one.
+func (l *loans) changeActive(j *job, rec store.ActiveRecord) {
+	key := store.ActivePrefix + j.spec.ID
+	j.handover = l.change(&loanChange{home: l.leadership.c.Cells.Cell, job: j.spec.ID,
+		build: func() (store.Txn, bool) {
+			return store.Txn{Guards: []store.Guard{l.leadership.termGuard(), {Key: key, Mark: j.mark}},
+				Ops: []store.Op{{Put: key, Value: rec}}}, !j.over
+		},
+		done: func(ring uint64) {
+			j.handover = false
+			l.leadership.applyLoan(j, rec, ring)
+		}})
+}
+
+// recall wants back what could start here at once and has not begun there.
+func (l *loans) recall(waits []predictedStart, now time.Time) {
+	r := l.leadership
+	free, recalled := 0.0, 0
+	for _, m := range r.machines {
+		if m.open(now) {
+			free += m.freeCPUs()
+		}
+	}
+	for _, w := range waits {
+		free -= float64(w.job.flight.Untaken()) * w.job.spec.CPUs
+	}
+	for _, j := range r.jobs {
+		if j.wantBack {
+			recalled++
+			free -= float64(j.spec.Tasks) * j.spec.CPUs
+		}
+	}
+	for _, j := range r.jobs {
+		if recalled >= mostRecalls {
+			return
+		}
+		wants := float64(j.spec.Tasks) * j.spec.CPUs
+		if j.lent == nil || j.wantBack || j.remote.Phase != loan.PhaseAccepted || wants > free || r.unheard > 0 {
+			continue
+		}
+		j.wantBack = true
+		free -= wants
+		recalled++
+		r.c.Log.Info("loan called back", "job", j.spec.ID, "from", j.lent.Host)
+	}
+}
+
+// exchange tells each neighbour of all loans to it.
+func (l *loans) exchange(now time.Time) {
+	r := l.leadership
+	for _, n := range l.neighbours {
+		if n.lost {
+			l.takeFromLost(n)
+			continue
+		}
+		if n.busy || now.Before(n.next) || r.c.Link == nil {
+			continue
+		}
+		n.busy, n.next = true, now.Add(exchangeEvery)
+		req := l.request(n)
+		go func() {
+			ctx, cancel := context.WithTimeout(r.ctx, exchangeTimeout)
+			defer cancel()
+			answer, err := r.c.Link.Loans(ctx, n.cell, req)
+			r.post(loanAnswerMsg{r, n, now, answer, err})
+		}()
+	}
+}
+
+// takeFromLost takes back what was lent to a cell that the operators have given up.
+func (l *loans) takeFromLost(n *neighbour) {
+	for _, j := range l.leadership.jobs {
+		if j.lent != nil && j.lent.Host == n.cell && !j.handover {
+			l.act(j, loan.State{Job: j.spec.ID, Epoch: j.lent.Epoch, Phase: loan.PhaseClosed, Reason: "the cell is lost"})
+		}
+	}
+}
+
+// mostOfferBytes bounds the descriptions of jobs in a request.
+const mostOfferBytes = 64 << 10
+
+// request says what is wanted of each loan to a neighbour.
+func (l *loans) request(n *neighbour) *loan.Request {
+	r := l.leadership
+	req := &loan.Request{Home: r.c.Cells.Cell, Term: r.term.Number}
+	room := mostOfferBytes
+	for id, j := range r.jobs {
+		if j.lent == nil || j.lent.Host != n.cell || j.handover {
+			continue
+		}
+		e := loan.Entry{Job: id, Epoch: j.lent.Epoch}
+		switch {
+		case j.lent.Cancel:
+			e.Want = loan.WantCancel
+		case j.wantBack:
+			e.Want = loan.WantBack
+		}
+		if j.remote.Phase == loan.PhaseUnknown && e.Want == loan.WantRun && room > 0 {
+			e.Offer = &loan.Offer{Spec: j.lent.Spec, Grant: j.lent.Grant, Since: j.lent.Since}
+			room -= offerBytes + len(j.lent.Spec.Class) + len(j.lent.Spec.Image) + 16*len(j.lent.Spec.Types)
+		}
+		req.Entries = append(req.Entries, e)
+	}
+	for job, epoch := range n.forget {
+		req.Entries = append(req.Entries, loan.Entry{Job: job, Epoch: epoch, Want: loan.WantForget})
+	}
+	return req
+}
+
+// offerBytes is about what the description of a job takes, besides long names.
+const offerBytes = 400
+
+// loanAnswerMsg brings a neighbour's answer.
+type loanAnswerMsg struct {
+	leadership *leadership
+	neighbour  *neighbour
+	sent       time.Time
+	answer     *loan.Answer
+	err        error
+}
+
+func (m loanAnswerMsg) apply(c *Controller) {
+	if c.leadership != m.leadership {
+		return
+	}
+	l, n, now := &m.leadership.loans, m.neighbour, time.Now()
+	n.busy = false
+	if m.err == nil && m.answer.Refused != "" {
+		m.err = &RefusedError{Cell: n.cell, Reason: m.answer.Refused}
+	}
+	if m.err != nil {
+		if n.lastError == "" {
+			n.failing = now
+			c.Log.Info("cell does not answer", "cell", n.cell, "err", m.err)
+		}
+		n.lastError = m.err.Error()
+		return
+	}
+	if n.lastError != "" {
+		c.Log.Info("cell answers again", "cell", n.cell, "after", now.Sub(n.failing).Round(time.Second))
+	}
+	n.lastError, n.heard, n.delay, n.advert = "", now, now.Sub(m.sent), m.answer.Advert
+	clear(n.forget)
+	for _, s := range m.answer.States {
+		l.takeState(n, s)
+	}
+}
+
+// RefusedError is another cell's refusal of a whole request.
+type RefusedError struct{ Cell, Reason string }
+
+func (e *RefusedError) Error() string { return "cell " + e.Cell + " refuses: " + e.Reason }
+
+// takeState takes in how a loan stands at its host.
+func (l *loans) takeState(n *neighbour, s loan.State) {
+	r := l.leadership
+	j := r.jobs[s.Job]
+	if j != nil && j.handover {
+		return // what is on its way decides
+	}
+	if j == nil || j.lent == nil || j.lent.Host != n.cell || j.lent.Epoch != s.Epoch {
+		if s.Phase != loan.PhaseClosed && s.Phase != loan.PhaseUnknown && loan.SettledBy(r.term.Number, s.Epoch) {
+			n.forget[s.Job] = s.Epoch
+			n.next = time.Time{}
+		}
+		return
+	}
+	if s.Phase == loan.PhaseBegun {
+		j.wantBack = false // it stays where it runs
+	}
+	if s.Phase >= j.remote.Phase {
+		j.remote = s
+	}
+	l.act(j, s)
+}
+
+// act carries out what follows from how a loan stands.
+func (l *loans) act(j *job, s loan.State) {
+	switch loan.HomeStep(j.lent, s) {
+	case loan.ActionTakeBack:
+		j.remote.Reason = s.Reason
+		l.changeActive(j, store.ActiveRecord{Spec: j.lent.Spec, Accepted: j.accepted, Lends: j.lends})
+	case loan.ActionDone:
+		l.end(j, store.FinalRecord{Phase: api.JobDone, Tasks: j.spec.Tasks, Ended: time.Now().UTC()})
+	case loan.ActionWithdraw:
+		l.end(j, store.FinalRecord{Phase: api.JobWithdrawn, Tasks: j.spec.Tasks})
+	}
+}
+
+// end records how a lent job ended.
+func (l *loans) end(j *job, final store.FinalRecord) {
+	r, id := l.leadership, j.spec.ID
+	active := store.ActivePrefix + id
+	j.handover = l.change(&loanChange{home: r.c.Cells.Cell, job: id,
+		build: func() (store.Txn, bool) {
+			txn := store.Txn{Guards: []store.Guard{r.termGuard(), {Key: active, Mark: j.mark}}}
+			if final.Phase == api.JobWithdrawn {
+				// As with a user's own cancellation, a watch sees why the record goes.
+				txn.Ops = append(txn.Ops, store.Op{Put: store.CancelKey, Value: id})
+			}
+			txn.Ops = append(txn.Ops, store.Op{Put: store.FinalPrefix + id, Value: final}, store.Op{Delete: active})
+			// From now on others may read of its end before this node knows of it.
+			j.ending = true
+			return txn, !j.over
+		},
+		done: func(uint64) {
+			switch {
+			case j.over:
+			case final.Phase == api.JobDone:
+				j.doneCount = j.spec.Tasks
+				r.finished(j)
+			default:
+				r.withdraw(j)
+			}
+			if n := l.neighbours[j.lent.Host]; n != nil {
+				n.next = time.Time{} // it names the loan once more, and is told to forget it
+			}
+		}})
+}
--- /dev/null
+++ b/internal/controller/loanshost.go
@@ -0,0 +1,531 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/loan"
+	"example.org/ivytrestle/internal/queue"
+	"example.org/ivytrestle/internal/store"
+)
+
+// Loans takes in what the leader of another cell says of the jobs that it lends to this
+// one. Only the leader answers.
+func (c *Controller) Loans(ctx context.Context, req *loan.Request) (*loan.Answer, error) {
+	m := loanRequestMsg{req, make(chan *loan.Answer, 1)}
+	if err := c.send(ctx, m); err != nil {
+		return nil, err
+	}
+	select {
+	case answer := <-m.reply:
+		if answer == nil {
+			return nil, api.ErrUnavailable
+		}
+		return answer, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+type loanRequestMsg struct {
+	req   *loan.Request
+	reply chan *loan.Answer
+}
+
+func (m loanRequestMsg) apply(c *Controller) {
+	if c.leadership == nil || !c.leadership.loaded || !c.valid() {
+		m.reply <- nil
+		return
+	}
+	m.reply <- c.leadership.loans.answer(m.req, time.Now())
+}
+
+// answer takes a request in and says how all loans of its cell stand.
+func (l *loans) answer(req *loan.Request, now time.Time) *loan.Answer {
+	r := l.leadership
+	if reason := l.refusal(req); reason != "" {
+		l.logOnce("loans refused", req.Home, reason)
+		return &loan.Answer{Refused: reason}
+	}
+	answer := &loan.Answer{Host: r.c.Cells.Cell, Term: r.term.Number, Advert: l.advert(now)}
+	named := map[string]bool{}
+	raise := loan.Epoch(0)
+	for _, e := range req.Entries {
+		named[e.Job] = true
+		held := l.held(req.Home, e, &answer.Advert)
+		phase, step := loan.HostStep(e, held)
+		state := loan.State{Job: e.Job, Epoch: e.Epoch, Phase: phase, Reason: held.Refuse}
+		if j := r.jobs[e.Job]; j != nil && j.guest != nil && j.guest.Epoch == e.Epoch {
+			l.progress(j, &state)
+		} else {
+			state.Held = l.onMachines(e.Job)
+		}
+		if step == loan.StepRaise {
+			raise = max(raise, e.Epoch)
+			l.logOnce("loan not accepted", loanName(req.Home, e.Job), held.Refuse)
+		} else {
+			l.carryOut(req.Home, e, step)
+		}
+		answer.States = append(answer.States, state)
+	}
+	if raise > l.floors[req.Home].epoch {
+		l.raiseFloor(req.Home, raise)
+	}
+	answer.States = append(answer.States, l.unnamed(req.Home, named)...)
+	return answer
+}
+
+// refusal says why a request is not taken in at all, or "".
+func (l *loans) refusal(req *loan.Request) string {
+	cells := l.leadership.c.Cells
+	if cells == nil {
+		return "no cells are configured here"
+	}
+	if cells.Neighbour(req.Home) == nil {
+		return fmt.Sprintf("cell %q is not configured here", req.Home)
+	}
+	for _, e := range req.Entries {
+		switch {
+		case !api.ValidID(e.Job):
+			return fmt.Sprintf("%q is no job id", e.Job)
+		case e.Epoch == 0 || e.Want < loan.WantRun || e.Want > loan.WantForget:
+			return fmt.Sprintf("the loan of %s is malformed", e.Job)
+		case e.Offer != nil && (e.Offer.Spec.ID != e.Job || e.Offer.Spec.Tasks < 1 || e.Offer.Spec.Tasks > api.MaxTasks || e.Offer.Spec.CPUs < 0):
+			return fmt.Sprintf("the description of %s is malformed", e.Job)
+		}
+	}
+	return ""
+}
+
+// logOnce says something of a cell or job once.
+func (l *loans) logOnce(what, of, reason string) {
+	key := what + " " + of + " " + reason
+	if l.logged[key] || len(l.logged) >= mostLoanNames {
+		return
+	}
+	l.logged[key] = true
+	l.leadership.c.Log.Warn(what, "of", of, "reason", reason)
+}
+
+// held is what this cell's records say of a job of a home cell.
+func (l *loans) held(home string, e loan.Entry, advert *loan.Advert) loan.Held {
+	r := l.leadership
+	h := loan.Held{Floor: l.floors[home].epoch}
+	if end, ok := l.ends.Get([]byte(loanName(home, e.Job))); ok {
+		h.End = &end.End
+	}
+	if j := r.jobs[e.Job]; j != nil && j.guest != nil && j.guest.Home == home {
+		h.Guest = j.guest.Epoch
+		// A machine that is not heard may hold tasks of it.
+		h.Begun = j.begun() || r.unheard > 0 && j.mark <= r.term.Mark
+		return h
+	}
+	if e.Want == loan.WantRun && e.Offer != nil && h.End == nil {
+		h.Refuse = l.refuses(home, e.Offer, advert)
+	}
+	return h
+}
+
+// refuses says why an offer is not accepted, or "", and takes what it needs off what
+// there is to spare.
+func (l *loans) refuses(home string, o *loan.Offer, advert *loan.Advert) string {
+	r, s := l.leadership, &o.Spec
+	if l.changing[loanName(home, s.ID)] {
+		return "" // it is being accepted
+	}
+	guests := 0
+	for _, j := range r.jobs {
+		if j.guest != nil && j.guest.Home == home {
+			guests++
+		}
+	}
+	rec := store.ActiveRecord{Guest: &loan.Guest{Home: home, Spec: *s}}
+	switch {
+	case !l.enabled():
+		return "a controller here does not know of loans"
+	case r.jobs[s.ID] != nil || l.taken[s.ID]:
+		return "a job of that name is here"
+	case guests+len(l.changing) >= r.c.Cells.MaxLoans:
+		return "too many loans"
+	case !advert.Accepting || advert.CPUs < s.CPUs || advert.GPUs < s.GPUs:
+		return "nothing to spare"
+	case o.Grant.CPUs < s.CPUs || o.Grant.GPUs < s.GPUs:
+		return "the grant holds no task"
+	case !store.FitsRecord(rec, r.c.Settings.Site.State.ValueKB):
+		return "larger than a record"
+	}
+	for _, t := range advert.Types {
+		if typeAllowed(s, t.Name) && zoneAllowed(s, t.Zones) && s.CPUs <= t.CPUs+slack && s.GPUs <= t.GPUs+slack && s.MemoryGB <= t.MemoryGB+slack {
+			advert.CPUs -= min(o.Grant.CPUs, float64(s.Tasks)*s.CPUs)
+			return ""
+		}
+	}
+	return "a task fits no machine type"
+}
+
+// progress tells how a guest stands.
+func (l *loans) progress(j *job, s *loan.State) {
+	st := j.state()
+	s.Done, s.Running, s.Held = st.Done, st.Running, len(j.live) > 0
+}
+
+// onMachines tells whether tasks of a job may be on machines, whatever is known of it.
+func (l *loans) onMachines(id string) bool {
+	r := l.leadership
+	if r.unheard > 0 {
+		return true
+	}
+	prefix := id + "/"
+	for _, m := range r.machines {
+		for key, a := range m.attempts {
+			if !a.exited && strings.HasPrefix(key.ref, prefix) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// unnamed are the loans of a cell that are here and that its request does not name. It is
+// told of them, and says what is to become of them.
+func (l *loans) unnamed(home string, named map[string]bool) (states []loan.State) {
+	for id, j := range l.leadership.jobs {
+		if j.guest == nil || j.guest.Home != home || named[id] {
+			continue
+		}
+		s := loan.State{Job: id, Epoch: j.guest.Epoch, Phase: loan.PhaseAccepted}
+		if j.begun() {
+			s.Phase = loan.PhaseBegun
+		}
+		l.progress(j, &s)
+		states = append(states, s)
+	}
+	l.ends.Root().WalkPrefix([]byte(home+"/"), func(_ []byte, end loanEnd) bool {
+		if !named[end.job] {
+			s := loan.State{Job: end.job, Epoch: end.Epoch, Phase: loan.PhaseWithdrawn, Ended: end.Ended, Held: l.onMachines(end.job)}
+			if end.Phase == api.JobDone {
+				s.Phase = loan.PhaseDone
+			}
+			states = append(states, s)
+		}
+		return false
+	})
+	return states
+}
+
+// carryOut changes this cell's records as a step says.
+func (l *loans) carryOut(home string, e loan.Entry, step loan.Step) {
+	j := l.leadership.jobs[e.Job]
+	switch step {
+	case loan.StepAccept:
+		l.accept(home, e)
+	case loan.StepClose:
+		l.giveBack(j)
+	case loan.StepWithdraw:
+		l.endGuest(j, loan.End{Epoch: e.Epoch, Phase: api.JobWithdrawn, Tasks: j.spec.Tasks})
+	case loan.StepForget:
+		l.forgetEnd(home, e)
+	}
+}
+
+// accept puts a guest's record, unless this cell knows the job or the floor has risen.
+func (l *loans) accept(home string, e loan.Entry) {
+	r := l.leadership
+	active := store.ActivePrefix + e.Job
+	rec := store.ActiveRecord{Accepted: time.Now().UTC(), Guest: &loan.Guest{Home: home, Epoch: e.Epoch, Spec: e.Offer.Spec, Grant: e.Offer.Grant, Since: e.Offer.Since}}
+	l.change(&loanChange{home: home, job: e.Job,
+		build: func() (store.Txn, bool) {
+			return store.Txn{Guards: []store.Guard{r.termGuard(), {Key: loan.FloorKey(home), Mark: l.floors[home].mark},
+				{Key: active}, {Key: store.FinalPrefix + e.Job}, {Key: loan.EndKey(home, e.Job)}},
+				Ops: []store.Op{{Put: active, Value: rec}}}, e.Epoch > l.floors[home].epoch && r.jobs[e.Job] == nil
+		},
+		done: func(ring uint64) {
+			r.c.Log.Info("guest accepted", "job", e.Job, "home", home, "epoch", e.Epoch, "cpus", e.Offer.Grant.CPUs)
+			if r.jobs[e.Job] == nil {
+				r.addRecord(active, rec, ring)
+			}
+		}})
+}
+
+// floorOp raises a floor in a transaction, and guards on its present version.
+func (l *loans) floorOp(txn *store.Txn, home string, epoch loan.Epoch) {
+	floor := l.floors[home]
+	key := loan.FloorKey(home)
+	txn.Guards = append(txn.Guards, store.Guard{Key: key, Mark: floor.mark})
+	txn.Ops = append(txn.Ops, store.Op{Put: key, Value: loan.Floor{Epoch: max(epoch, floor.epoch)}})
+}
+
+func (l *loans) floorRaised(home string, epoch loan.Epoch, ring uint64) {
+	l.floors[home] = loanFloor{max(epoch, l.floors[home].epoch), ring}
+}
+
+// raiseFloor closes all loans of a home cell up to an epoch that are not here.
+func (l *loans) raiseFloor(home string, epoch loan.Epoch) {
+	l.change(&loanChange{home: home, job: "floor",
+		build: func() (store.Txn, bool) {
+			txn := store.Txn{Guards: []store.Guard{l.leadership.termGuard()}}
+			l.floorOp(&txn, home, epoch)
+			return txn, epoch > l.floors[home].epoch
+		},
+		done: func(ring uint64) { l.floorRaised(home, epoch, ring) }})
+}
+
+// giveBack removes a guest that has not begun.
+func (l *loans) giveBack(j *job) {
+	r, home, epoch := l.leadership, j.guest.Home, j.guest.Epoch
+	active := store.ActivePrefix + j.spec.ID
+	l.change(&loanChange{home: home, job: j.spec.ID,
+		build: func() (store.Txn, bool) {
+			if j.over || j.begun() {
+				return store.Txn{}, false
+			}
+			j.handover = true
+			txn := store.Txn{Guards: []store.Guard{r.termGuard(), {Key: active, Mark: j.mark}}, Ops: []store.Op{{Delete: active}}}
+			l.floorOp(&txn, home, epoch)
+			return txn, true
+		},
+		done: func(ring uint64) {
+			l.floorRaised(home, epoch, ring)
+			l.guestOver(j, store.Entry{})
+		}})
+}
+
+// guestDone records that all tasks of a guest are done.
+func (l *loans) guestDone(j *job) {
+	l.endGuest(j, loan.End{Epoch: j.guest.Epoch, Phase: api.JobDone, Tasks: j.spec.Tasks, Ended: time.Now().UTC()})
+}
+
+// endGuest records how a guest ended, for its home cell.
+func (l *loans) endGuest(j *job, end loan.End) {
+	r, home, id := l.leadership, j.guest.Home, j.spec.ID
+	active, key := store.ActivePrefix+id, loan.EndKey(home, id)
+	l.change(&loanChange{home: home, job: id,
+		build: func() (store.Txn, bool) {
+			txn := store.Txn{Guards: []store.Guard{r.termGuard(), {Key: active, Mark: j.mark}}}
+			if end.Phase == api.JobWithdrawn {
+				// All nodes of this cell must know before they renew leases.
+				txn.Ops = append(txn.Ops, store.Op{Put: store.CancelKey, Value: loan.GuestMark + id})
+			}
+			txn.Ops = append(txn.Ops, store.Op{Put: key, Value: end}, store.Op{Delete: active})
+			j.handover = true
+			return txn, !j.over
+		},
+		done: func(ring uint64) {
+			raw, err := json.Marshal(end)
+			if err != nil {
+				panic(err) // it holds only plain values
+			}
+			e := store.Entry{Key: key, Value: raw, Mark: ring}
+			l.addRecord(e)
+			l.guestOver(j, e)
+		}})
+}
+
+// guestOver drops a guest whose active record is gone. What of it is on machines is
+// stopped by the answers to their reports.
+func (l *loans) guestOver(j *job, end store.Entry) {
+	if j.over {
+		return
+	}
+	r := l.leadership
+	r.forget(j)
+	if end.Mark != 0 {
+		var e loan.End
+		if err := json.Unmarshal(end.Value, &e); err == nil && e.Phase == api.JobWithdrawn {
+			r.c.cancelled(loan.GuestMark + j.spec.ID)
+		}
+	}
+	for _, a := range j.live {
+		r.settleUnconfirmed(a)
+	}
+	for first := range j.chunks {
+		r.recorder.drop(store.ProgressKey(j.spec.ID, first))
+	}
+	r.c.Log.Info("guest over", "job", j.spec.ID, "home", j.guest.Home, "done", j.doneCount, "tasks", j.spec.Tasks)
+}
+
+// forgetEnd drops how a guest ended, once its home cell has recorded it.
+func (l *loans) forgetEnd(home string, e loan.Entry) {
+	name := []byte(loanName(home, e.Job))
+	key := loan.EndKey(home, e.Job)
+	l.change(&loanChange{home: home, job: e.Job,
+		build: func() (store.Txn, bool) {
+			end, ok := l.ends.Get(name)
+			txn := store.Txn{Guards: []store.Guard{l.leadership.termGuard(), {Key: key, Mark: end.mark}}, Ops: []store.Op{{Delete: key}}}
+			l.floorOp(&txn, home, e.Epoch)
+			return txn, ok
+		},
+		done: func(ring uint64) {
+			l.floorRaised(home, e.Epoch, ring)
+			l.ends, _, _ = l.ends.Delete(name)
+		}})
+}
+
+// guestTeam is the queue of a home cell's guests. They have no guarantee.
+func (l *loans) guestTeam(home string) *queue.Team[*job] {
+	t := l.guestTeams[home]
+	if t == nil {
+		// What it may use is bounded by the grants; the guarantees of the cell's own
+		// teams go before it.
+		t = &queue.Team[*job]{Name: "guests of " + home, CPUsMax: math.MaxFloat64, GPUsMax: math.MaxFloat64}
+		l.guestTeams[home] = t
+		l.guestTurns = append(l.guestTurns, t)
+	}
+	return t
+}
+
+// withinGrant tells whether a guest may start one more task. All that may be on a machine
+// counts.
+func (j *job) withinGrant() bool {
+	running := 0
+	for _, n := range j.zones {
+		running += n
+	}
+	s, grant := &j.spec, &j.guest.Grant
+	return float64(running+1)*s.CPUs <= grant.CPUs+slack && (s.GPUs == 0 || float64(running+1)*s.GPUs <= grant.GPUs+slack)
+}
+
+// pickGuest chooses the guest that a machine serves next, when no own job can use it.
+func (l *loans) pickGuest(m *machine, now time.Time) *job {
+	if len(l.guestTurns) == 0 {
+		return nil
+	}
+	queue.Turns(l.guestTurns)
+	for _, t := range l.guestTurns {
+		for _, j := range t.Items() {
+			if j.flight.Untaken() > 0 && l.leadership.eligible(j, m, now) {
+				return j
+			}
+		}
+	}
+	return nil
+}
+
+// advert is what this cell has to spare: the free room on its machines, less what waits
+// of its own jobs and of guests.
+func (l *loans) advert(now time.Time) loan.Advert {
+	r := l.leadership
+	a := loan.Advert{CancelS: r.c.Settings.Site.Workers.CancelS}
+	total := 0.0
+	for _, m := range r.machines {
+		if m.open(now) {
+			a.CPUs += m.freeCPUs()
+			a.GPUs += m.gpus - m.usedGPUs
+			total += m.cpus
+		}
+	}
+	guests := 0.0
+	for _, j := range r.jobs {
+		if j.lent != nil || j.cancelPending || len(j.awaits) > 0 {
+			continue
+		}
+		cpus := float64(j.flight.Untaken()) * j.spec.CPUs
+		if j.guest != nil {
+			cpus = min(cpus, j.guest.Grant.CPUs)
+			guests += float64(len(j.live))*j.spec.CPUs + cpus
+		}
+		a.CPUs -= cpus
+		a.GPUs -= float64(j.flight.Untaken()) * j.spec.GPUs
+	}
+	a.CPUs = max(0, min(a.CPUs, r.c.Policy.Spill.GuestShare*total-guests))
+	a.GPUs = max(0, a.GPUs)
+	for _, t := range r.c.types.load() {
+		a.Types = append(a.Types, loan.MachineType{Name: t.Name, CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB, Zones: t.Zones, FetchGBs: t.FetchGBs})
+	}
+	slices.SortFunc(a.Types, func(x, y loan.MachineType) int { return strings.Compare(x.Name, y.Name) })
+	a.Accepting = a.CPUs > 0 && r.unheard == 0 && l.enabled()
+	return a
+}
+
+// giveBackAfter is how long a guest may wait here for its first start.
+const giveBackAfter = 20 * time.Second
+
+// scanHost looks once a second after the guests.
+func (l *loans) scanHost(now time.Time) {
+	r := l.leadership
+	for _, t := range l.guestTurns {
+		for _, j := range t.Items() {
+			switch {
+			case j.handover || r.unheard > 0:
+			case j.doneCount == j.spec.Tasks:
+				l.guestDone(j) // it was not recorded yet
+			case now.Sub(j.waiting) > giveBackAfter && !j.begun():
+				l.giveBack(j)
+			}
+		}
+	}
+	l.makeRoom(now)
+}
+
+// shortFor is how long a guarantee must lack room before guests are stopped for it.
+const shortFor = time.Second
+
+// makeRoom stops guests whose room a team's guarantee needs, those that began last first.
+func (l *loans) makeRoom(now time.Time) {
+	if len(l.guestTurns) == 0 {
+		return
+	}
+	lack := l.lackOfGuarantees(now)
+	if lack <= 0 {
+		l.shortSince = time.Time{}
+		return
+	}
+	if l.shortSince.IsZero() {
+		l.shortSince = now
+	}
+	if now.Sub(l.shortSince) < shortFor {
+		return
+	}
+	var running []*attempt
+	for _, t := range l.guestTurns {
+		for _, j := range t.Items() {
+			for _, a := range j.live {
+				if a.stop != nil {
+					lack -= j.spec.CPUs // its room is about to be free
+				} else {
+					running = append(running, a)
+				}
+			}
+		}
+	}
+	slices.SortFunc(running, func(a, b *attempt) int { return b.sentAt.Compare(a.sentAt) })
+	for _, a := range running {
+		if lack <= 0 {
+			return
+		}
+		lack -= a.job.spec.CPUs
+		l.leadership.stop(a, 2*a.job.spec.Save(), now)
+	}
+}
+
+// lackOfGuarantees is how many CPUs waiting work within the teams' guarantees lacks.
+func (l *loans) lackOfGuarantees(now time.Time) float64 {
+	r := l.leadership
+	lack := 0.0
+	for _, t := range r.turns {
+		left := t.CPUs - t.UsedCPUs
+		for _, j := range t.Items() {
+			if left <= 0 {
+				break
+			}
+			if j.finishing || j.faulty > 0 || now.Before(j.heldUntil) {
+				continue
+			}
+			cpus := min(left, float64(j.flight.Untaken())*j.spec.CPUs)
+			left -= cpus
+			lack += cpus
+		}
+	}
+	for _, m := range r.machines {
+		if m.open(now) {
+			lack -= m.freeCPUs()
+		}
+	}
+	return lack
+}
--- a/internal/controller/model.go
+++ b/internal/controller/model.go
@@ -10,6 +10,7 @@
 
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/flight"
+	"example.org/ivytrestle/internal/loan"
 	"example.org/ivytrestle/internal/queue"
 	"example.org/ivytrestle/internal/store"
 )
@@ -83,6 +84,20 @@
 	firstStart, lastStart time.Time
 	longest               time.Duration
 
+	// lent is set while the job is lent to another cell, and guest if it runs here for
+	// one. handover is set while a transaction that moves it is queued or on its way.
+	lent     *loan.Lent
+	guest    *loan.Guest
+	handover bool
+	// remote is how a lent job stands, wantBack is set while it is called back, and
+	// reserved is what it counts for in its team's limit.
+	remote   loan.State
+	wantBack bool
+	reserved loan.Grant
+	// lends is how often it was lent, and lentBefore when cells last gave it back.
+	lends      int
+	lentBefore map[string]time.Time
+
 	finishing bool
 	// ending is set once a transaction that records its end may be on its way.
 	ending bool
@@ -162,6 +177,13 @@
 }
 
 func (j *job) state() api.JobState {
+	if j.lent != nil {
+		st := api.JobState{ID: j.spec.ID, Phase: api.JobPending, Done: j.remote.Done, Running: j.remote.Running, Cell: j.lent.Host}
+		if j.remote.Phase == loan.PhaseBegun {
+			st.Phase = api.JobRunning
+		}
+		return st
+	}
 	st := api.JobState{ID: j.spec.ID, Phase: api.JobPending, Done: j.doneCount}
 	for _, a := range j.live {
 		if a.phase == api.TaskRunning || a.phase == api.TaskSaving {
--- a/internal/controller/peertable.go
+++ b/internal/controller/peertable.go
@@ -25,6 +25,8 @@
 	// all of them as a leader; negative: it does not know.
 	Cancels cancellation.News
 	Known   time.Duration
+	// KnowsLoans is set if it knows records of jobs that are lent between cells.
+	KnowsLoans bool
 }
 
 // peerTable is what a node knows of the others and of its own way to the state
@@ -276,7 +278,7 @@
 
 func (m peerStatusMsg) apply(c *Controller) {
 	now := time.Now()
-	st := PeerStatus{Leader: c.leader, Incarnation: c.up.incarnation, Known: -1}
+	st := PeerStatus{Leader: c.leader, Incarnation: c.up.incarnation, Known: -1, KnowsLoans: c.Cells != nil}
 	if m.from.Incarnation != st.Incarnation {
 		m.from.Number = 0
 	}
--- a/internal/controller/poll.go
+++ b/internal/controller/poll.go
@@ -112,7 +112,7 @@
 		m.reply <- pollReply{st: st, answered: true}
 		return
 	}
-	if c.leadership != nil && c.valid() && c.leadership.loaded && c.leadership.jobs[m.id] != nil {
+	if c.leadership != nil && c.valid() && c.leadership.loaded && c.leadership.knows(m.id) {
 		c.leadership.confirm.add(m)
 		return
 	}
@@ -218,6 +218,12 @@
 	}
 }
 
+// knows tells whether this cell's users may know a job that is active.
+func (r *leadership) knows(id string) bool {
+	j := r.jobs[id]
+	return j != nil && j.guest == nil
+}
+
 // answer is what the leader's memory says of a job.
 func (r *leadership) answer(id string) pollReply {
 	if st, ok := r.c.final.Get(id); ok {
@@ -225,7 +231,7 @@
 	}
 	j := r.jobs[id]
 	switch {
-	case j == nil:
+	case j == nil || j.guest != nil:
 		return pollReply{} // the store knows
 	case j.cancelPending:
 		// One that it needs is cancelled on record, and that stays so. However many
--- a/internal/controller/provisioner.go
+++ b/internal/controller/provisioner.go
@@ -12,6 +12,7 @@
 	"example.org/ivytrestle/internal/cloud"
 	"example.org/ivytrestle/internal/config"
 	"example.org/ivytrestle/internal/fleet"
+	"example.org/ivytrestle/internal/queue"
 )
 
 // provisioner rents machines for what waits and gives back what is not needed. It
@@ -64,7 +65,7 @@
 func (f *provisioner) demand() float64 {
 	bootedAt := time.Now().Add(f.longestBoot())
 	sum := 0.0
-	for _, t := range f.r.turns {
+	for _, t := range f.r.allTeams() {
 		atOnce, inTime := t.UsedCPUs, t.UsedCPUs
 		for _, j := range t.Items() {
 			if j.finishing || j.faulty > 0 {
@@ -80,6 +81,14 @@
 	return sum
 }
 
+// allTeams are the cell's own teams and those of guests: what was accepted is to run.
+func (r *leadership) allTeams() []*queue.Team[*job] {
+	if len(r.loans.guestTurns) == 0 {
+		return r.turns
+	}
+	return slices.Concat(r.turns, r.loans.guestTurns)
+}
+
 // longestBoot is how long the slowest type of machine usually takes to boot.
 func (f *provisioner) longestBoot() time.Duration {
 	boot := 0.0
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -217,8 +217,8 @@
 		}
 		// A version that knows nothing of jobs that await others may have started
 		// one too early; one that is to be cancelled is stopped, also while the
-		// store cannot be written.
-		if a.job == nil || a.job.over || a.job.cancelPending || a.job.live[a.task] != a {
+		// store cannot be written; so is one that another cell owns.
+		if a.job == nil || a.job.over || a.job.cancelPending || a.job.lent != nil || a.job.live[a.task] != a {
 			r.stop(a, 0, now)
 		}
 		if a.stop != nil {
@@ -477,7 +477,7 @@
 			return best
 		}
 	}
-	return nil
+	return r.loans.pickGuest(m, now)
 }
 
 // Jobs that cannot be in time give way to those that can, but not without
@@ -528,7 +528,9 @@
 func (r *leadership) eligible(j *job, m *machine, now time.Time) bool {
 	s := &j.spec
 	switch {
-	case j.over || j.finishing || now.Before(j.heldUntil):
+	case j.over || j.finishing || j.handover || j.lent != nil || now.Before(j.heldUntil):
+		return false
+	case j.guest != nil && !j.withinGrant():
 		return false
 	case r.unheard > 0 && j.mark <= r.term.Mark:
 		// A machine not heard in this term may hold any task that was
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -134,6 +134,10 @@
 func (r *leadership) whyWaits(j *job, now time.Time) string {
 	s := &j.spec
 	switch {
+	case j.lent != nil || j.handover:
+		return "lent to another cell"
+	case j.guest != nil:
+		return "guest"
 	case j.cancelPending:
 		return "cancelled with another"
 	case len(j.awaits) > 0:
@@ -159,7 +163,7 @@
 			continue
 		}
 		counts[r.whyWaits(j, now)]++
-		if len(j.awaits) > 0 {
+		if len(j.awaits) > 0 || j.lent != nil || j.guest != nil {
 			continue // not for room
 		}
 		if oldest == nil || j.since.Before(oldest.since) {
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"example.org/ivytrestle/internal/loan"
 	"example.org/ivytrestle/internal/store"
 )
 
@@ -17,6 +18,7 @@
 	active     []store.Entry
 	progress   []store.Entry
 	machines   []store.Entry
+	loans      []store.Entry
 }
 
 // load reads the store until it succeeds.
@@ -46,6 +48,11 @@
 	if s.machines, _, err = r.readAll(store.MachinePrefix); err != nil {
 		return nil, err
 	}
+	if r.c.Cells != nil {
+		if s.loans, _, err = r.readAll(loan.Prefix); err != nil {
+			return nil, err
+		}
+	}
 	s.active = slices.DeleteFunc(s.active, func(e store.Entry) bool {
 		if e.Key == store.CancelKey {
 			s.cancelMark = e.Mark
@@ -88,6 +95,9 @@
 	}
 	now := time.Now()
 	r.cancelMark = m.snapshot.cancelMark
+	for _, e := range m.snapshot.loans {
+		r.loans.addRecord(e)
+	}
 	for _, e := range m.snapshot.active {
 		r.addJob(e.Key, e.Value, e.Mark)
 	}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &peer.JobStatus{Known: true, Phase: st.Phase, Done: uint32(st.Done), Running: uint32(st.Running), Awaits: st.Awaits, Derived: st.Derived}, nil
+	return &peer.JobStatus{Known: true, Phase: st.Phase, Done: uint32(st.Done), Running: uint32(st.Running), Awaits: st.Awaits, Derived: st.Derived, Cell: st.Cell}, nil
 }
 
 // Ping implements peer.Handler.
@@ -44,6 +44,7 @@
 	}
 	pong := &peer.Pong{Term: st.Term, Leader: st.Leader, StoreOkMs: uint64(st.StoreOK.Milliseconds()), Incarnation: st.Incarnation,
 		Cancelled: st.Cancels.IDs, CancelFirst: st.Cancels.First, CancelMore: st.Cancels.More, CancelWholeMs: uint64(st.Cancels.Whole.Milliseconds())}
+	pong.KnowsLoans = st.KnowsLoans
 	if st.Known >= 0 {
 		// Rounded up: it must not seem fresher than it is.
 		pong.KnownAgeMs = proto.Uint64(uint64(st.Known.Milliseconds()) + 1)
@@ -67,6 +68,11 @@
 	return h.c.LeaderResigned(ctx, r.Node, r.Term)
 }
 
+// Loans implements peer.Handler: other cells have a listener of their own.
+func (h peerHandler) Loans(context.Context, *peer.LoanRequest) (*peer.LoanAnswer, error) {
+	return nil, peer.ErrUnable
+}
+
 // peers asks the other nodes.
 type peers map[string]*peer.Client
 
@@ -91,7 +97,7 @@
 	if !st.Known {
 		return api.JobState{}, api.ErrUnknownJob
 	}
-	return api.JobState{ID: id, Phase: st.Phase, Done: int(st.Done), Running: int(st.Running), Awaits: st.Awaits, Derived: st.Derived}, nil
+	return api.JobState{ID: id, Phase: st.Phase, Done: int(st.Done), Running: int(st.Running), Awaits: st.Awaits, Derived: st.Derived, Cell: st.Cell}, nil
 }
 
 // Ping implements controller.PeerAsker.
@@ -110,6 +116,7 @@
 	out := controller.PeerStatus{Term: st.Term, Leader: st.Leader, StoreOK: time.Duration(st.StoreOkMs) * time.Millisecond,
 		Incarnation: st.Incarnation, Known: -1, Cancels: cancellation.News{IDs: st.Cancelled, First: st.CancelFirst, More: st.CancelMore,
 			Whole: time.Duration(st.CancelWholeMs) * time.Millisecond}}
+	out.KnowsLoans = st.KnowsLoans
 	if st.KnownAgeMs != nil {
 		out.Known = time.Duration(*st.KnownAgeMs) * time.Millisecond
 	}
--- a/internal/loan/loan.go
+++ b/internal/loan/loan.go
@@ -36,6 +36,7 @@
 // NewEpoch is the epoch of a leader's loan with a count from 1 on.
 func NewEpoch(term uint64, count uint32) Epoch { return Epoch(term<<32 | uint64(count)) }
 
+// String writes an epoch as its term and count.
 func (e Epoch) String() string {
 	return strconv.FormatUint(uint64(e>>32), 10) + "." + strconv.FormatUint(uint64(uint32(e)), 10)
 }
@@ -139,6 +140,7 @@
 	PhaseClosed
 )
 
+// String names a phase for logs.
 func (p Phase) String() string {
 	names := [...]string{"unknown", "accepted", "begun", "done", "withdrawn", "closed"}
 	if p < 0 || int(p) >= len(names) {
@@ -162,13 +164,12 @@
 
 // MachineType is a type of machine that a cell can rent.
 type MachineType struct {
-	Name      string
-	CPUs      float64
-	GPUs      float64
-	MemoryGB  float64
-	Zones     []string
-	FetchGBs  float64
-	SpotPrice float64
+	Name     string
+	CPUs     float64
+	GPUs     float64
+	MemoryGB float64
+	Zones    []string
+	FetchGBs float64
 }
 
 // Advert is what a cell has to spare.
@@ -186,4 +187,6 @@
 	Term   uint64
 	States []State
 	Advert Advert
+	// Refused says why the request was not taken in, or is empty.
+	Refused string
 }
--- a/internal/loan/model_test.go
+++ b/internal/loan/model_test.go
@@ -46,7 +46,7 @@
 	// late are transactions that have no answer and may yet be carried out.
 	late []func() bool
 
-	cancelAsked, cancelTold    bool
+	cancelAsked                bool
 	runsAtHome, runsAtHost     bool
 	ranAtHome, ranAtHost, ends int
 	lends                      int
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -39,6 +39,8 @@
 	Report(ctx context.Context, r *Report) (*ReportAnswer, error)
 	// Resigned takes in that the leader of a term has stopped to act.
 	Resigned(ctx context.Context, r *Resignation) error
+	// Loans takes in what the leader of another cell says of the jobs that it lends.
+	Loans(ctx context.Context, r *LoanRequest) (*LoanAnswer, error)
 }
 
 // maxInFlight bounds the questions of one connection that are being answered,
@@ -123,6 +125,8 @@
 		resp.Report, err = h.Report(ctx, k.Report)
 	case *Request_Resignation:
 		err = h.Resigned(ctx, k.Resignation)
+	case *Request_Loans:
+		resp.Loans, err = h.Loans(ctx, k.Loans)
 	default:
 		err = ErrUnable // a question of a later version
 	}
@@ -311,6 +315,18 @@
 	return err
 }
 
+// Loans tells the leader of another cell of the jobs lent to it.
+func (c *Client) Loans(ctx context.Context, r *LoanRequest) (*LoanAnswer, error) {
+	resp, err := c.ask(ctx, &Request{Kind: &Request_Loans{Loans: r}})
+	if err != nil {
+		return nil, err
+	}
+	if resp.Loans == nil {
+		return nil, ErrUnable
+	}
+	return resp.Loans, nil
+}
+
 func (c *Client) ask(ctx context.Context, req *Request) (*Response, error) {
 	ch := make(chan *Response, 1)
 	out, seq, err := c.register(ctx, ch)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -36,6 +36,8 @@
 	return &ReportAnswer{Term: a.term, Orders: []*Order{{Verb: "reap", Task: r.Tasks[0].Task, Attempt: 7}}}, nil
 }
 
+func (a answers) Loans(context.Context, *LoanRequest) (*LoanAnswer, error) { return nil, ErrUnable }
+
 func (a answers) Resigned(_ context.Context, r *Resignation) error {
 	if r.Term != a.term {
 		return errors.New("another term")
--- a/internal/policy/defaults.star
+++ b/internal/policy/defaults.star
@@ -33,3 +33,15 @@
 # the state service up to this long does not end the leadership, and a leader
 # that never comes back is replaced after it.
 leader_lease_s = 30.0
+
+# Where cells lend each other capacity: how long, in seconds, a job must have waited
+# before it is lent, and by how much sooner it must be expected to begin there.
+spill_after_s = 10.0
+spill_gain_s = 15.0
+
+# How often a job may be lent, and after what time, in seconds, to the same cell again.
+spill_lends = 3
+spill_cooldown_s = 60.0
+
+# The part of this cell's CPUs that jobs of other cells may use.
+guest_share = 0.5
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -33,6 +33,21 @@
 	Preferences map[string]float64
 	// RestartLimit is how many estimates a task may run; 0 is without limit.
 	RestartLimit float64
+	// Spill says when jobs are lent to other cells, if there are any.
+	Spill Spill
+}
+
+// Spill says when jobs are lent to other cells.
+type Spill struct {
+	// After is how long a job must have waited, and Gain by how much sooner it must be
+	// expected to begin there.
+	After, Gain time.Duration
+	// Lends is how often a job may be lent, and Cooldown after what time again to the
+	// same cell.
+	Lends    int
+	Cooldown time.Duration
+	// GuestShare is the part of a cell's CPUs that other cells' jobs may use.
+	GuestShare float64
 }
 
 // Share is a team's share, or the fallback if the operators name none.
@@ -150,7 +165,7 @@
 		return fail("use_spot", "True or False")
 	}
 	p.UseSpot = bool(spot)
-	var idle, lease, hold float64
+	var idle, lease, hold, after, gain, lends, cooldown float64
 	var err error
 	for _, f := range []struct {
 		key    string
@@ -160,6 +175,8 @@
 		{"headroom", &p.Headroom, 0, 10}, {"min_cpus", &p.MinCPUs, 0, 1e6},
 		{"idle_return_s", &idle, 0, 86400}, {"hold_s", &hold, 0, 86400}, {"leader_lease_s", &lease, 2, 600},
 		{"restart_limit", &p.RestartLimit, 0, 1000},
+		{"spill_after_s", &after, 0, 86400}, {"spill_gain_s", &gain, 0, 86400}, {"spill_lends", &lends, 0, 100},
+		{"spill_cooldown_s", &cooldown, 0, 86400}, {"guest_share", &p.Spill.GuestShare, 0, 1},
 	} {
 		x, ok := starlark.AsFloat(v[f.key])
 		if !ok || math.IsNaN(x) || x < f.lo || x > f.hi {
@@ -167,6 +184,8 @@
 		}
 		*f.to = x
 	}
+	p.Spill.After, p.Spill.Gain = time.Duration(after*float64(time.Second)), time.Duration(gain*float64(time.Second))
+	p.Spill.Lends, p.Spill.Cooldown = int(lends), time.Duration(cooldown*float64(time.Second))
 	p.IdleReturn = time.Duration(idle * float64(time.Second))
 	p.Hold = time.Duration(hold * float64(time.Second))
 	p.LeaderLease = time.Duration(lease * float64(time.Second))
--- a/internal/store/awaits.go
+++ b/internal/store/awaits.go
@@ -268,7 +268,7 @@
 	if s.active == nil && s.reads < mostSingleReads {
 		s.reads++
 		e, err := s.records.get(ctx, ActivePrefix+id)
-		if err != nil || e.Mark == 0 {
+		if err != nil || e.Mark == 0 || isGuest(e) {
 			return nil, false, err
 		}
 		a = awaitsOf(e)
@@ -379,8 +379,9 @@
 			return nil, err
 		}
 		for _, e := range p.Rows {
-			all[strings.Clone(strings.TrimPrefix(e.Key, ActivePrefix))] = awaitsOf(e)
-			from = e.Key
+			if from = e.Key; !isGuest(e) {
+				all[strings.Clone(strings.TrimPrefix(e.Key, ActivePrefix))] = awaitsOf(e)
+			}
 		}
 		if !p.More || len(p.Rows) == 0 {
 			return all, nil
--- a/internal/store/jobcache.go
+++ b/internal/store/jobcache.go
@@ -81,7 +81,7 @@
 	case c == nil || e.Key == CancelKey:
 	case strings.HasPrefix(e.Key, ActivePrefix):
 		id := strings.TrimPrefix(e.Key, ActivePrefix)
-		if e.Mark != 0 {
+		if e.Mark != 0 && !isGuest(e) {
 			c.add(id, e.Mark, awaitsOf(e))
 		} else {
 			c.jobs.Remove(id) // it is over; its final record tells more
@@ -108,7 +108,7 @@
 		return
 	}
 	for _, op := range txn.Ops {
-		if rec, ok := op.Value.(ActiveRecord); ok {
+		if rec, ok := op.Value.(ActiveRecord); ok && rec.Spec.ID != "" {
 			c.add(rec.Spec.ID, ring, awaited{rec.Spec.Awaits, rec.Awaits})
 		}
 	}
--- a/internal/store/records.go
+++ b/internal/store/records.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -14,6 +15,7 @@
 
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/config"
+	"example.org/ivytrestle/internal/loan"
 )
 
 // Prefixes of the service's keys. Active and final jobs are apart, so that a
@@ -38,8 +40,28 @@
 	// Awaits tells where the awaited jobs are listed if this record has no room for
 	// them. Spec.Awaits then holds only AwaitsElsewhere.
 	Awaits *AwaitsList `json:"awaits_list,omitempty"`
+	// Lent is set while the job is lent to another cell, and Guest if it runs here for
+	// one. Spec is then empty, and the job's description is there.
+	Lent  *loan.Lent  `json:"lent,omitempty"`
+	Guest *loan.Guest `json:"guest,omitempty"`
+	// Lends is how often the job has been lent.
+	Lends int `json:"lends,omitempty"`
 }
 
+// isGuest tells whether an active record is of a job that runs for another cell. For
+// the users of this one no such job was accepted.
+func isGuest(e Entry) bool {
+	if !bytes.Contains(e.Value, []byte(`"guest"`)) {
+		return false // nearly all
+	}
+	var rec ActiveRecord
+	return json.Unmarshal(e.Value, &rec) == nil && rec.Guest != nil
+}
+
+// ErrLent means that a job is lent to another cell, which has yet to confirm that it is
+// cancelled. That it is to be is on record.
+var ErrLent = errors.New("state service: the job is lent to another cell")
+
 // Fits tells whether an accepted job's record fits a value of so many KiB. The jobs
 // that it awaits need not: they may be listed in records of their own.
 func Fits(spec *api.JobSpec, valueKB float64) bool {
@@ -68,6 +90,13 @@
 	return err == nil && float64(len(raw)+32) <= room
 }
 
+// FitsRecord tells whether an active record fits a value of so many KiB.
+func FitsRecord(rec ActiveRecord, valueKB float64) bool {
+	raw, err := json.Marshal(rec)
+	const margin = 256 // for numbers that may grow
+	return err == nil && float64(len(raw)+margin) <= min(valueKB*1024, MaxTxnBytes/2)
+}
+
 // FinalRecord is a job that is over.
 type FinalRecord struct {
 	Phase string `json:"phase"`
@@ -241,7 +270,7 @@
 	if err != nil {
 		return api.JobState{}, false, err
 	}
-	if e.Mark == 0 {
+	if e.Mark == 0 || isGuest(e) {
 		return r.Final(ctx, id)
 	}
 	pending, err := r.cancelPending(ctx, e)
@@ -323,6 +352,13 @@
 		if err := json.Unmarshal(e.Value, &rec); err != nil {
 			return fmt.Errorf("record %s: %w", e.Key, err)
 		}
+		if rec.Guest != nil {
+			st, found, err = r.Final(ctx, id)
+			return err
+		}
+		if rec.Lent != nil {
+			return r.cancelLent(ctx, e, rec)
+		}
 		final := FinalRecord{Phase: api.JobWithdrawn, Tasks: rec.Spec.Tasks}
 		res, err := r.txn(ctx, Txn{
 			Guards: []Guard{{e.Key, e.Mark}},
@@ -346,6 +382,25 @@
 	return st, found, err
 }
 
+// cancelLent notes that a lent job is to be cancelled. Its user is told only once the cell
+// that has it has recorded that, and its tasks are gone there.
+func (r *Records) cancelLent(ctx context.Context, e Entry, rec ActiveRecord) error {
+	if rec.Lent.Cancel {
+		return ErrLent
+	}
+	asked := *rec.Lent
+	asked.Cancel = true
+	rec.Lent = &asked
+	res, err := r.txn(ctx, Txn{Guards: []Guard{{e.Key, e.Mark}}, Ops: []Op{{Put: e.Key, Value: rec}}})
+	if err != nil {
+		return err
+	}
+	if !res.OK {
+		return fmt.Errorf("%w: %s changed meanwhile", ErrUnknown, e.Key)
+	}
+	return ErrLent
+}
+
 // retry repeats a request that failed until the context ends.
 func retry(ctx context.Context, f func() error) error {
 	wait := 40 * time.Millisecond
