--- a/cmd/ivytrestle/main.go
+++ b/cmd/ivytrestle/main.go
@@ -16,6 +16,7 @@
 	"github.com/alecthomas/kong"
 
 	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/cells"
 	"example.org/ivytrestle/internal/client"
 	"example.org/ivytrestle/internal/config"
 	"example.org/ivytrestle/internal/daemon"
@@ -38,45 +39,63 @@
 type files struct {
 	Config string `required:"" placeholder:"FILE" help:"The platform's settings file (JSON)."`
 	Policy string `placeholder:"FILE" help:"The operators' settings (Starlark)."`
+	Cells  string `placeholder:"FILE" help:"The cells that lend each other capacity (TOML)."`
 }
 
-func (f *files) load() (*config.Settings, *policy.Policy, error) {
+// loaded are the contents of the files.
+type loaded struct {
+	settings *config.Settings
+	policy   *policy.Policy
+	// cells is nil if no file names any.
+	cells *cells.Settings
+}
+
+func (f *files) load() (*loaded, error) {
 	s, err := config.Load(f.Config)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	p, err := policy.Load(f.Policy)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	for team := range p.Shares {
 		if !s.Site.HasTeam(team) {
-			return nil, nil, fmt.Errorf("policy %s: team_shares names %q, which is no team of this site", f.Policy, team)
+			return nil, fmt.Errorf("policy %s: team_shares names %q, which is no team of this site", f.Policy, team)
 		}
 	}
-	return s, p, nil
+	out := &loaded{settings: s, policy: p}
+	if f.Cells != "" {
+		out.cells, err = cells.Load(f.Cells, s.Node)
+	}
+	return out, err
 }
 
 type serveCmd struct{ files }
 
 func (c *serveCmd) Run() error {
-	settings, pol, err := c.load()
+	files, err := c.load()
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return daemon.Run(ctx, settings, pol, daemon.Logger(os.Stderr, os.Getenv("LOG_LEVEL")))
+	return daemon.Run(ctx, files.settings, files.policy, files.cells, daemon.Logger(os.Stderr, os.Getenv("LOG_LEVEL")))
 }
 
 type checkCmd struct{ files }
 
 func (c *checkCmd) Run() error {
-	s, _, err := c.load()
+	files, err := c.load()
 	if err != nil {
 		return err
 	}
-	fmt.Printf("%s: good (%d teams, %d other controllers)\n", s.Node, len(s.Site.Teams), len(s.Peers))
+	s := files.settings
+	more := ""
+	if files.cells != nil {
+		more = fmt.Sprintf(", cell %s with %d neighbours", files.cells.Cell, len(files.cells.Neighbours))
+	}
+	fmt.Printf("%s: good (%d teams, %d other controllers%s)\n", s.Node, len(s.Site.Teams), len(s.Peers), more)
 	return nil
 }
 
@@ -182,6 +201,9 @@
 // stateLine is a job's state as its user sees it.
 func stateLine(st api.JobState) string {
 	line := fmt.Sprintf("%s %s: %d done, %d running", st.ID, st.Phase, st.Done, st.Running)
+	if st.Cell != "" {
+		line += ", lent to cell " + st.Cell
+	}
 	if len(st.Awaits) > 0 {
 		line += ", waits for " + strings.Join(st.Awaits, ", ")
 	}
--- a/internal/controller/loans.go
+++ b/internal/controller/loans.go
@@ -38,6 +38,7 @@
 	guestTeams map[string]*queue.Team[*job]
 	guestTurns []*queue.Team[*job]
 
+	counts  LoanCounts
 	queue   []*loanChange
 	busy    bool
 	limiter *rate.Limiter
@@ -199,6 +200,7 @@
 	switch {
 	case m.res.OK:
 		l.finished(m.change)
+		l.counts.Written++
 		m.change.done(m.res.Ring)
 	case r.superseded(m.res):
 		return
--- a/internal/controller/loanshome.go
+++ b/internal/controller/loanshome.go
@@ -66,6 +66,7 @@
 	}
 	j.lentBefore[j.lent.Host] = time.Now()
 	j.lent, j.handover, j.wantBack = nil, false, false
+	l.counts.TakenBack++
 	l.release(j)
 	l.requeue(j)
 }
@@ -254,6 +255,7 @@
 func (l *loans) lend(j *job, n *neighbour, grant loan.Grant) {
 	r := l.leadership
 	l.count++
+	l.counts.Lent++
 	spec := j.spec
 	spec.Awaits = nil
 	record := &loan.Lent{Host: n.cell, Epoch: loan.NewEpoch(r.term.Number, l.count), Spec: spec, Grant: grant, Since: j.since.UTC()}
@@ -474,8 +476,10 @@
 			case j.over:
 			case final.Phase == api.JobDone:
 				j.doneCount = j.spec.Tasks
+				l.counts.Done++
 				r.finished(j)
 			default:
+				l.counts.Withdrawn++
 				r.withdraw(j)
 			}
 			if n := l.neighbours[j.lent.Host]; n != nil {
--- a/internal/controller/loanshost.go
+++ b/internal/controller/loanshost.go
@@ -246,6 +246,7 @@
 				Ops: []store.Op{{Put: active, Value: rec}}}, e.Epoch > l.floors[home].epoch && r.jobs[e.Job] == nil
 		},
 		done: func(ring uint64) {
+			l.counts.Accepted++
 			r.c.Log.Info("guest accepted", "job", e.Job, "home", home, "epoch", e.Epoch, "cpus", e.Offer.Grant.CPUs)
 			if r.jobs[e.Job] == nil {
 				r.addRecord(active, rec, ring)
@@ -292,6 +293,7 @@
 		},
 		done: func(ring uint64) {
 			l.floorRaised(home, epoch, ring)
+			l.counts.GivenBack++
 			l.guestOver(j, store.Entry{})
 		}})
 }
@@ -500,6 +502,7 @@
 			return
 		}
 		lack -= a.job.spec.CPUs
+		l.counts.Stopped++
 		l.leadership.stop(a, 2*a.job.spec.Save(), now)
 	}
 }
--- /dev/null
+++ b/internal/controller/loansstatus.go
@@ -0,0 +1,130 @@
+package controller
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"example.org/ivytrestle/internal/loan"
+)
+
+// CellsStatus is the operators' view of the loans to and from other cells.
+type CellsStatus struct {
+	Cell       string            `json:"cell"`
+	Enabled    bool              `json:"enabled"`
+	Neighbours []NeighbourStatus `json:"neighbours"`
+	// Lent and Guests are the loans out and in; no more than mostLoansShown of each.
+	Lent   []LoanStatus `json:"lent"`
+	Guests []LoanStatus `json:"guests"`
+	// Ended is how many guests have ended whose home has yet to record it.
+	Ended  int        `json:"ended_guests"`
+	Counts LoanCounts `json:"counts"`
+}
+
+// NeighbourStatus is how another cell stands.
+type NeighbourStatus struct {
+	Cell      string  `json:"cell"`
+	Lost      bool    `json:"lost,omitempty"`
+	HeardS    float64 `json:"heard_s_ago"`
+	DelayMs   int64   `json:"delay_ms"`
+	SpareCPUs float64 `json:"spare_cpus"`
+	Accepting bool    `json:"accepting"`
+	LastError string  `json:"last_error,omitempty"`
+	Lent      int     `json:"lent"`
+	Guests    int     `json:"guests"`
+}
+
+// LoanStatus is one loan.
+type LoanStatus struct {
+	Job     string  `json:"job"`
+	Cell    string  `json:"cell"`
+	Epoch   string  `json:"epoch"`
+	Phase   string  `json:"phase"`
+	CPUs    float64 `json:"cpus"`
+	Done    int     `json:"done"`
+	Running int     `json:"running"`
+	// Waits says what it waits for, if anything.
+	Waits string `json:"waits,omitempty"`
+}
+
+// LoanCounts are the leader's counts of loans since its term began.
+type LoanCounts struct {
+	Lent      int64 `json:"lent"`
+	TakenBack int64 `json:"taken_back"`
+	Done      int64 `json:"done_away"`
+	Withdrawn int64 `json:"withdrawn_away"`
+	Accepted  int64 `json:"guests_accepted"`
+	GivenBack int64 `json:"guests_given_back"`
+	Stopped   int64 `json:"guest_tasks_stopped"`
+	// Written is how many changes of loans were put on record.
+	Written int64 `json:"records_changed"`
+}
+
+// mostLoansShown bounds the loans in a status.
+const mostLoansShown = 50
+
+// status is the operators' view, or nil where there are no other cells.
+func (l *loans) status(now time.Time) *CellsStatus {
+	r := l.leadership
+	if r.c.Cells == nil {
+		return nil
+	}
+	s := &CellsStatus{Cell: r.c.Cells.Cell, Enabled: l.enabled(), Ended: l.ends.Len(), Counts: l.counts}
+	lent, guests := map[string]int{}, map[string]int{}
+	for _, j := range r.jobs {
+		switch {
+		case j.lent != nil:
+			lent[j.lent.Host]++
+			s.Lent = append(s.Lent, l.lentStatus(j))
+		case j.guest != nil:
+			guests[j.guest.Home]++
+			s.Guests = append(s.Guests, guestStatus(j))
+		}
+	}
+	s.Lent, s.Guests = firstLoans(s.Lent), firstLoans(s.Guests)
+	for _, n := range l.neighbours {
+		ns := NeighbourStatus{Cell: n.cell, Lost: n.lost, HeardS: -1, DelayMs: n.delay.Milliseconds(), SpareCPUs: n.advert.CPUs,
+			Accepting: n.advert.Accepting, LastError: n.lastError, Lent: lent[n.cell], Guests: guests[n.cell]}
+		if !n.heard.IsZero() {
+			ns.HeardS = now.Sub(n.heard).Seconds()
+		}
+		s.Neighbours = append(s.Neighbours, ns)
+	}
+	slices.SortFunc(s.Neighbours, func(a, b NeighbourStatus) int { return strings.Compare(a.Cell, b.Cell) })
+	return s
+}
+
+// firstLoans are the first of some loans by name.
+func firstLoans(all []LoanStatus) []LoanStatus {
+	slices.SortFunc(all, func(a, b LoanStatus) int { return strings.Compare(a.Job, b.Job) })
+	return all[:min(len(all), mostLoansShown)]
+}
+
+func (l *loans) lentStatus(j *job) LoanStatus {
+	s := LoanStatus{Job: j.spec.ID, Cell: j.lent.Host, Epoch: j.lent.Epoch.String(), Phase: j.remote.Phase.String(),
+		CPUs: j.lent.Grant.CPUs, Done: j.remote.Done, Running: j.remote.Running}
+	n := l.neighbours[j.lent.Host]
+	switch {
+	case n == nil:
+		s.Waits = "its cell is not configured"
+	case n.lastError != "":
+		s.Waits = "its cell does not answer: " + n.lastError
+	case j.lent.Cancel:
+		s.Waits = "to be cancelled there"
+	case j.wantBack:
+		s.Waits = "called back"
+	case j.remote.Phase == loan.PhaseUnknown:
+		s.Waits = "not accepted yet"
+	}
+	return s
+}
+
+func guestStatus(j *job) LoanStatus {
+	st := j.state()
+	s := LoanStatus{Job: j.spec.ID, Cell: j.guest.Home, Epoch: j.guest.Epoch.String(), Phase: loan.PhaseAccepted.String(),
+		CPUs: j.guest.Grant.CPUs, Done: st.Done, Running: st.Running}
+	if j.begun() {
+		s.Phase = loan.PhaseBegun.String()
+	}
+	return s
+}
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -36,6 +36,8 @@
 	Waits      map[string]int `json:"waits"`
 	FirstStart Latency        `json:"first_start_ms"`
 	Recorded   Latency        `json:"recorded_ms"`
+	// Cells are the loans to and from other cells, if there are any.
+	Cells *CellsStatus `json:"cells,omitempty"`
 }
 
 // TeamStatus is one team's queue and use.
@@ -109,6 +111,7 @@
 		Unheard: r.unheard, Booting: len(r.expected), Started: r.counts.started, Lost: r.counts.lost,
 		Done: r.counts.done, FirstStart: latency(r.counts.firstStart), Recorded: latency(r.counts.recorded)}
 	s.Waits, _ = r.waits(now)
+	s.Cells = r.loans.status(now)
 	for _, m := range r.machines {
 		s.CPUs += m.cpus
 		s.UsedCPUs += m.usedCPUs
--- /dev/null
+++ b/internal/daemon/cells.go
@@ -0,0 +1,106 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/cells"
+	"example.org/ivytrestle/internal/controller"
+	"example.org/ivytrestle/internal/loan"
+	"example.org/ivytrestle/internal/peer"
+)
+
+// cellHandler answers other cells, on a listener of their own. Of all questions that
+// controllers ask each other, it takes only those about loans.
+type cellHandler struct{ c *controller.Controller }
+
+// Job implements peer.Handler.
+func (cellHandler) Job(context.Context, string) (*peer.JobStatus, error) { return nil, peer.ErrUnable }
+
+// Ping implements peer.Handler.
+func (cellHandler) Ping(context.Context, *peer.Ping) (*peer.Pong, error) { return nil, peer.ErrUnable }
+
+// Report implements peer.Handler.
+func (cellHandler) Report(context.Context, *peer.Report) (*peer.ReportAnswer, error) {
+	return nil, peer.ErrUnable
+}
+
+// Resigned implements peer.Handler.
+func (cellHandler) Resigned(context.Context, *peer.Resignation) error { return peer.ErrUnable }
+
+// Loans implements peer.Handler.
+func (h cellHandler) Loans(ctx context.Context, r *peer.LoanRequest) (*peer.LoanAnswer, error) {
+	req, err := r.Unpack()
+	if err != nil {
+		return &peer.LoanAnswer{Refused: err.Error()}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerWait)
+	defer cancel()
+	answer, err := h.c.Loans(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	return peer.PackLoanAnswer(answer), nil
+}
+
+// cellLinks is the direct way to other cells: to each of a cell's controllers in turn,
+// until its leader answers.
+type cellLinks struct {
+	cells map[string]*cellLink
+}
+
+type cellLink struct {
+	clients []*peer.Client
+
+	mu sync.Mutex
+	// last is the client that answered last.
+	last int
+}
+
+func newCellLinks(s *cells.Settings) *cellLinks {
+	l := &cellLinks{cells: map[string]*cellLink{}}
+	for _, n := range s.Neighbours {
+		link := &cellLink{}
+		for _, addr := range n.Addresses {
+			link.clients = append(link.clients, peer.NewClient(addr))
+		}
+		l.cells[n.Cell] = link
+	}
+	return l
+}
+
+// cellTry bounds the question to one controller of another cell.
+const cellTry = 900 * time.Millisecond
+
+// Loans implements controller.CellLink.
+func (l *cellLinks) Loans(ctx context.Context, cell string, req *loan.Request) (*loan.Answer, error) {
+	link := l.cells[cell]
+	if link == nil {
+		return nil, api.ErrUnavailable
+	}
+	msg, err := peer.PackLoanRequest(req)
+	if err != nil {
+		return nil, err
+	}
+	link.mu.Lock()
+	first := link.last
+	link.mu.Unlock()
+	failed := []error{}
+	for i := range link.clients {
+		at := (first + i) % len(link.clients)
+		tctx, cancel := context.WithTimeout(ctx, cellTry)
+		answer, err := link.clients[at].Loans(tctx, msg)
+		cancel()
+		if err == nil {
+			link.mu.Lock()
+			link.last = at
+			link.mu.Unlock()
+			return answer.Unpack(), nil
+		}
+		failed = append(failed, err)
+	}
+	return nil, errors.Join(failed...)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -14,6 +15,7 @@
 	"time"
 
 	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/cells"
 	"example.org/ivytrestle/internal/cloud"
 	"example.org/ivytrestle/internal/config"
 	"example.org/ivytrestle/internal/controller"
@@ -72,7 +74,8 @@
 }
 
 // Run runs a controller until the context ends or it cannot go on.
-func Run(ctx context.Context, s *config.Settings, p *policy.Policy, log *slog.Logger) error {
+// Other cells may be nil: there are none.
+func Run(ctx context.Context, s *config.Settings, p *policy.Policy, others *cells.Settings, log *slog.Logger) error {
 	tune(s.Site.Limits)
 	apiLn, err := netio.Listen(s.APIAddr)
 	if err != nil {
@@ -83,13 +86,25 @@
 		apiLn.Close()
 		return fmt.Errorf("peers: %w", err)
 	}
+	var cellLn net.Listener
+	if others != nil {
+		if cellLn, err = netio.Listen(others.Listen[s.Node]); err != nil {
+			apiLn.Close()
+			peerLn.Close()
+			return fmt.Errorf("cells: %w", err)
+		}
+	}
 	st := store.NewClient(s.Outside.State, s.Site.State)
 	peers := newPeers(s.Peers)
 	machines := worker.NewClient()
-	c := controller.New(controller.Config{
+	cfg := controller.Config{
 		Settings: s, Policy: p, Store: st, Cloud: cloud.NewClient(s.Outside.Cloud, s.Site.Cloud),
 		UserStore: st.ForUsers(), Peers: peers, Prober: machines, Director: machines, Log: log,
-	})
+	}
+	if others != nil {
+		cfg.Cells, cfg.Link = others, newCellLinks(others)
+	}
+	c := controller.New(cfg)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	cand := &election.Candidate{
@@ -99,7 +114,10 @@
 	}
 	go c.Run(ctx)
 	go cand.Run(ctx)
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
+	if cellLn != nil {
+		go func() { failed <- peer.Serve(ctx, cellLn, cellHandler{c}, log) }()
+	}
 	go func() { failed <- peer.Serve(ctx, peerLn, peerHandler{c}, log) }()
 	limiter := newConnLimiter(connections(s.Site.Limits))
 	srv := &httpd.Server{Handler: api.Handler(c, log), ConnState: limiter.watch, Log: log}
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -27,7 +27,7 @@
 
 func TestBadScriptsAreRefused(t *testing.T) {
 	for _, c := range []struct{ script, want string }{
-		{"headrom = 1", "own.star:1: unknown setting headrom (known: class_preference, headroom,"},
+		{"headrom = 1", "own.star:1: unknown setting headrom (known: class_preference, guest_share, headroom,"},
 		{"_half = 2\nheadroom = -1", "own.star:2: headroom must be a number from 0 to 10, found -1"},
 		{"if True:\n    hold_s, headroom = 3, -1", "own.star:2: headroom must be"},
 		{"def f():\n    hold_s = 2\n    return -1\nhold_s = f()", "own.star:4: hold_s must be"},
