--- /dev/null
+++ b/internal/loadtest/cellsload/machine.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+)
+
+const (
+	reportEvery = time.Second
+	leaseTime   = 10 * time.Second
+	machineCPUs = 16.0
+)
+
+// machine is a worker: it reports to one of its cell's controllers, and runs what it is
+// told to.
+type machine struct {
+	cell   *cell
+	client *http.Client
+	mu     sync.Mutex
+	rep    api.Report
+	ends   map[string]time.Time
+	// answered is when the last answered report was sent.
+	answered time.Time
+	node     int
+	used     atomic.Int64
+}
+
+func newMachine(c *cell, name string) (*machine, error) {
+	m := &machine{cell: c, client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{}}, ends: map[string]time.Time{}, answered: time.Now(),
+		rep: api.Report{Machine: name, Type: machineType.Name, Zone: zone, Session: 1, Tasks: []api.TaskReport{}}}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	m.rep.Addr = ln.Addr().String()
+	c.world.closers = append(c.world.closers, func() { ln.Close() })
+	go http.Serve(ln, m) // until the listener is closed
+	return m, nil
+}
+
+func (m *machine) run(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(float64(reportEvery) * (0.75 + rand.Float64()/2))):
+		}
+		m.report()
+	}
+}
+
+// report sends a report, and carries out what the answer says.
+func (m *machine) report() {
+	m.mu.Lock()
+	m.age()
+	m.rep.Seq++
+	body, err := json.Marshal(m.rep)
+	session, sent := m.rep.Session, time.Now()
+	m.mu.Unlock()
+	if err != nil {
+		panic(err) // plain values
+	}
+	resp, err := m.client.Post("http://"+m.cell.nodes[m.node].api+"/v1/report", "application/json", bytes.NewReader(body))
+	if err != nil {
+		m.node = (m.node + 1) % len(m.cell.nodes)
+		return
+	}
+	defer resp.Body.Close()
+	raw, _ := io.ReadAll(resp.Body)
+	var answer api.ReportAnswer
+	switch {
+	case resp.StatusCode == http.StatusOK && json.Unmarshal(raw, &answer) == nil:
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if answer.Term >= m.rep.Term && session == m.rep.Session {
+			m.answered = sent
+			m.obey(answer.Term, answer.Orders)
+		}
+	case resp.StatusCode == http.StatusMisdirectedRequest:
+		var other struct{ Gardener string }
+		json.Unmarshal(raw, &other)
+		if at := slices.IndexFunc(m.cell.nodes, func(n *process) bool { return n.name == other.Gardener }); at >= 0 && at != m.node {
+			m.node = at
+			return
+		}
+		m.node = (m.node + 1) % len(m.cell.nodes)
+	default:
+		m.node = (m.node + 1) % len(m.cell.nodes)
+	}
+}
+
+// age ends the tasks whose time has come, and all of them with the lease.
+func (m *machine) age() {
+	if time.Since(m.answered) > leaseTime {
+		for _, t := range m.rep.Tasks {
+			if t.Phase != api.TaskExited {
+				m.off(t.Task, false)
+			}
+		}
+		m.rep.Tasks, m.ends = []api.TaskReport{}, map[string]time.Time{}
+		m.rep.Session++
+		m.answered = time.Now()
+		return
+	}
+	for i := range m.rep.Tasks {
+		t := &m.rep.Tasks[i]
+		if end, ok := m.ends[t.Task]; ok && time.Now().After(end) {
+			t.Phase, t.Cause = api.TaskExited, api.CauseDone
+			m.off(t.Task, true)
+		}
+	}
+}
+
+func (m *machine) off(task string, done bool) {
+	delete(m.ends, task)
+	m.used.Add(-taskCPUs)
+	m.cell.world.ledger.off(task, done)
+}
+
+func (m *machine) obey(term uint64, orders []api.Order) {
+	m.rep.Term = max(m.rep.Term, term)
+	for _, o := range orders {
+		at := slices.IndexFunc(m.rep.Tasks, func(t api.TaskReport) bool { return t.Task == o.Task && t.Attempt == o.Attempt })
+		switch {
+		case o.Verb == api.VerbStart && at < 0:
+			m.rep.Tasks = append(m.rep.Tasks, api.TaskReport{Task: o.Task, Attempt: o.Attempt, Phase: api.TaskRunning})
+			m.ends[o.Task] = time.Now().Add(time.Duration(float64(taskTime) * (0.5 + rand.Float64())))
+			m.used.Add(taskCPUs)
+			m.cell.world.ledger.on(o.Task, m.cell, m.rep.Machine)
+		case o.Verb == api.VerbStop && at >= 0:
+			if m.rep.Tasks[at].Phase != api.TaskExited {
+				m.off(o.Task, false)
+			}
+			m.rep.Tasks[at].Phase, m.rep.Tasks[at].Cause = api.TaskExited, api.CauseHalted
+		case o.Verb == api.VerbReap && at >= 0:
+			m.rep.Tasks = slices.Delete(m.rep.Tasks, at, at+1)
+		}
+	}
+}
+
+// ServeHTTP takes what is sent straight to the machine.
+func (m *machine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rep.Seq++
+	if r.URL.Path == "/orders" {
+		var in api.DirectOrders
+		if json.NewDecoder(r.Body).Decode(&in) != nil || in.Term < m.rep.Term || in.Session != m.rep.Session {
+			w.WriteHeader(http.StatusConflict)
+		} else {
+			m.obey(in.Term, in.Orders)
+		}
+	}
+	json.NewEncoder(w).Encode(m.rep)
+}
+
+// ledger knows where each task is, in all cells.
+type ledger struct {
+	mu sync.Mutex
+	at map[string]string
+	// begun is when jobs began, away those that began in another cell than theirs.
+	begun map[string]time.Time
+	away  map[string]bool
+	// twice are the starts of tasks that were on a machine, and doneTwice those that
+	// completed and completed again.
+	twice, doneTwice int
+	done             map[string]bool
+	home             map[string]*cell
+	problems         []string
+}
+
+func newLedger() *ledger {
+	return &ledger{at: map[string]string{}, begun: map[string]time.Time{}, away: map[string]bool{}, done: map[string]bool{}, home: map[string]*cell{}}
+}
+
+func (l *ledger) on(task string, c *cell, machine string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if was := l.at[task]; was != "" {
+		l.twice++
+		l.problems = append(l.problems, fmt.Sprintf("%s begins on %s while it is on %s", task, machine, was))
+	}
+	l.at[task] = machine
+	id, _, _ := strings.Cut(task, "/")
+	if l.begun[id].IsZero() {
+		l.begun[id] = time.Now()
+	}
+	if l.home[id] != c {
+		l.away[id] = true
+	}
+}
+
+func (l *ledger) off(task string, done bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.at, task)
+	if !done {
+		return
+	}
+	if l.done[task] {
+		l.doneTwice++
+	}
+	l.done[task] = true
+}
--- /dev/null
+++ b/internal/loadtest/cellsload/main.go
@@ -0,0 +1,82 @@
+// Cellsload measures spillover on loopback: three cells of real controller processes
+// around simulated state services and machines, under load that crowds on one cell after
+// the other, with controllers killed and links between cells cut. It counts tasks that
+// were on two machines at once, jobs without or with two final answers, and how long jobs
+// wait and how much room stands idle, with and without spillover. It is a tool, not a
+// test, and runs for some minutes.
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kong"
+)
+
+type cli struct {
+	Binary   string        `default:"target/ivytrestle" help:"The controller's program."`
+	Cells    int           `default:"3" help:"How many cells there are."`
+	Machines int           `default:"4" help:"How many machines each cell has."`
+	Load     time.Duration `default:"60s" help:"How long jobs are submitted."`
+	Phase    time.Duration `default:"20s" help:"How long the load crowds on one cell."`
+	High     float64       `default:"5" help:"Jobs a second at the crowded cell."`
+	Low      float64       `default:"0.4" help:"Jobs a second at each of the others."`
+	Kills    time.Duration `help:"About how often a controller is killed; 0: never."`
+	Cuts     time.Duration `help:"About how often a link between cells is cut; 0: never."`
+	Alone    bool          `help:"Leave spillover off."`
+	Repeat   int           `default:"1" help:"How often all is played."`
+	Seed     uint64        `default:"1" help:"Of the troubles' times and places."`
+	Direct   bool          `help:"Print each trouble."`
+}
+
+// Run plays the load as often as asked.
+func (c *cli) Run() error {
+	binary, err := filepath.Abs(c.Binary)
+	if err != nil {
+		return err
+	}
+	c.Binary = binary
+	for i := range c.Repeat {
+		result, err := c.play(c.Seed + uint64(i))
+		if err != nil {
+			return err
+		}
+		fmt.Println(result)
+	}
+	return nil
+}
+
+func (c *cli) play(seed uint64) (*result, error) {
+	dir, err := os.MkdirTemp("", "cellsload")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	random := rand.New(rand.NewPCG(seed, 1))
+	world, err := newWorld(c, dir)
+	if err != nil {
+		return nil, err
+	}
+	defer world.end()
+	time.Sleep(5 * time.Second) // leaders are elected, machines heard
+	began := time.Now()
+	stop := make(chan struct{})
+	go world.trouble(c, random, stop)
+	go world.sample(stop)
+	world.load(c)
+	close(stop)
+	world.mend()
+	world.settle(4 * time.Minute)
+	return world.result(seed, time.Since(began)), nil
+}
+
+func main() {
+	k := kong.Parse(&cli{}, kong.Name("cellsload"), kong.Description("Measures spillover between cells on this computer."))
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "cellsload:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/loadtest/cellsload/world.go
@@ -0,0 +1,409 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/config"
+	"example.org/ivytrestle/internal/loadtest"
+)
+
+const (
+	zone        = "local"
+	controllers = 3
+	taskCPUs    = 2
+	taskTime    = 4 * time.Second
+	jobTasks    = 4
+)
+
+var machineType = api.MachineType{Name: "local-16", CPUs: machineCPUs, MemoryGB: 64, CacheGB: 80, FetchGBs: 100, Price: 1, SpotPrice: 0.4, BootS: 2, Zones: []string{zone}}
+
+// world is all cells with their users.
+type world struct {
+	cells   []*cell
+	ledger  *ledger
+	links   []*link
+	users   sync.WaitGroup
+	stop    chan struct{}
+	closers []func()
+
+	mu   sync.Mutex
+	jobs []*userJob
+	// idle sums up, of what was sampled while jobs waited anywhere, the part of all
+	// CPUs that was idle.
+	idle, samples float64
+	waiting       atomic.Int64
+	kills, cuts   int
+	verbose       bool
+}
+
+// cell is one cell: its controllers, its machines and its state service.
+type cell struct {
+	world    *world
+	name     string
+	nodes    []*process
+	machines []*machine
+}
+
+// process is a controller.
+type process struct {
+	name, api, cells string
+	args             []string
+	log              string
+	mu               sync.Mutex
+	cmd              *exec.Cmd
+}
+
+// freeAddr is a loopback address that nothing listens on.
+func freeAddr() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+func newWorld(c *cli, dir string) (*world, error) {
+	w := &world{ledger: newLedger(), stop: make(chan struct{}), verbose: c.Direct}
+	for i := range c.Cells {
+		cell, err := w.newCell(fmt.Sprintf("cell-%d", i), c.Machines)
+		if err != nil {
+			return nil, err
+		}
+		w.cells = append(w.cells, cell)
+	}
+	for _, cell := range w.cells {
+		if err := w.writeFiles(c, dir, cell); err != nil {
+			return nil, err
+		}
+		for _, p := range cell.nodes {
+			if err := p.begin(c.Binary); err != nil {
+				return nil, err
+			}
+		}
+		for _, m := range cell.machines {
+			go m.run(w.stop)
+		}
+	}
+	return w, nil
+}
+
+func (w *world) newCell(name string, machines int) (*cell, error) {
+	c := &cell{world: w, name: name}
+	for i := range controllers {
+		p := &process{name: fmt.Sprintf("%s-n%d", name, i)}
+		var err error
+		if p.api, err = freeAddr(); err != nil {
+			return nil, err
+		}
+		if p.cells, err = freeAddr(); err != nil {
+			return nil, err
+		}
+		c.nodes = append(c.nodes, p)
+	}
+	for i := range machines {
+		m, err := newMachine(c, fmt.Sprintf("i-%s-%03d", name, i))
+		if err != nil {
+			return nil, err
+		}
+		c.machines = append(c.machines, m)
+	}
+	return c, nil
+}
+
+// policy keeps the machines rented, since there are no others, and lends soon, since the
+// tasks are short.
+const policy = `
+min_cpus = 100000.0
+spill_after_s = 1.5
+spill_gain_s = 1.0
+spill_cooldown_s = 20.0
+guest_share = 0.9
+`
+
+// writeFiles writes the files that a cell's controllers start from.
+func (w *world) writeFiles(c *cli, dir string, cell *cell) error {
+	env, err := loadtest.New(machineType)
+	if err != nil {
+		return err
+	}
+	peers := map[string]string{}
+	for _, p := range cell.nodes {
+		if peers[p.name], err = freeAddr(); err != nil {
+			return err
+		}
+	}
+	cellsFile := ""
+	if !c.Alone {
+		if cellsFile, err = w.cellsFile(dir, cell); err != nil {
+			return err
+		}
+	}
+	policyFile := filepath.Join(dir, "policy.star")
+	if err := os.WriteFile(policyFile, []byte(policy), 0o644); err != nil {
+		return err
+	}
+	for _, p := range cell.nodes {
+		s := config.Settings{Node: p.name, Zone: zone, APIAddr: p.api, PeerListen: peers[p.name],
+			Outside: config.Outside{Cloud: env.Cloud, State: env.State},
+			Site: config.SiteInfo{Nodes: controllers, Zones: []string{zone},
+				Teams:   []config.Team{{Name: "red", CPUs: 24, CPUsMax: 128}, {Name: "blue", CPUs: 24, CPUsMax: 128}},
+				Workers: config.Workers{ReportS: reportEvery.Seconds(), LeaseS: leaseTime.Seconds(), CancelS: 30},
+				State:   config.StateLimits{RPS: 400, WriteRPS: 100, ValueKB: 16, TxnOps: 20},
+				Cloud:   config.CloudLimits{RPS: 5, ListLagS: 4},
+				Limits:  config.Limits{Cores: 0.5, RAMMB: 98, FDLimit: 800}}}
+		for _, other := range cell.nodes {
+			if other != p {
+				s.Peers = append(s.Peers, config.Peer{Node: other.name, Zone: zone, Addr: peers[other.name]})
+			}
+		}
+		raw, err := json.Marshal(s)
+		if err != nil {
+			return err
+		}
+		path := filepath.Join(dir, p.name+".json")
+		if err := os.WriteFile(path, raw, 0o644); err != nil {
+			return err
+		}
+		p.args = []string{"--policy", policyFile}
+		if cellsFile != "" {
+			p.args = append(p.args, "--cells", cellsFile)
+		}
+		p.args = append(p.args, "--config", path)
+		p.log = filepath.Join(dir, p.name+".log")
+	}
+	return nil
+}
+
+// cellsFile writes the file of cells as one of them sees them, with each way to another
+// cell's controller through a link that can be cut.
+func (w *world) cellsFile(dir string, cell *cell) (string, error) {
+	var text strings.Builder
+	fmt.Fprintf(&text, "cell = %q\n[listen]\n", cell.name)
+	for _, p := range cell.nodes {
+		fmt.Fprintf(&text, "%s = %q\n", p.name, p.cells)
+	}
+	for _, other := range w.cells {
+		if other == cell {
+			continue
+		}
+		fmt.Fprintf(&text, "[[neighbour]]\ncell = %q\naddresses = [", other.name)
+		for i, p := range other.nodes {
+			k, err := newLink(p.cells)
+			if err != nil {
+				return "", err
+			}
+			k.from, k.to = cell.name, other.name
+			w.links = append(w.links, k)
+			w.closers = append(w.closers, func() { k.ln.Close() })
+			if i > 0 {
+				text.WriteString(", ")
+			}
+			fmt.Fprintf(&text, "%q", k.ln.Addr())
+		}
+		text.WriteString("]\n")
+	}
+	path := filepath.Join(dir, cell.name+".toml")
+	return path, os.WriteFile(path, []byte(text.String()), 0o644)
+}
+
+func (p *process) begin(binary string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	p.cmd = exec.Command(binary, p.args...)
+	p.cmd.Stderr = log
+	return p.cmd.Start()
+}
+
+// kill ends the process without a signal that it could handle.
+func (p *process) kill() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd.Process.Kill()
+	p.cmd.Wait()
+}
+
+// link passes connections on to a controller's listener, until it is cut.
+type link struct {
+	from, to string
+	ln       net.Listener
+	target   string
+	mu       sync.Mutex
+	cut      bool
+	conns    map[net.Conn]bool
+}
+
+func newLink(target string) (*link, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	k := &link{ln: ln, target: target, conns: map[net.Conn]bool{}}
+	go k.accept()
+	return k, nil
+}
+
+func (k *link) accept() {
+	for {
+		in, err := k.ln.Accept()
+		if err != nil {
+			return
+		}
+		k.mu.Lock()
+		cut := k.cut
+		k.mu.Unlock()
+		out, err := net.DialTimeout("tcp", k.target, time.Second)
+		if cut || err != nil {
+			in.Close()
+			continue
+		}
+		k.mu.Lock()
+		k.conns[in], k.conns[out] = true, true
+		k.mu.Unlock()
+		go k.pass(in, out)
+		go k.pass(out, in)
+	}
+}
+
+func (k *link) pass(to, from net.Conn) {
+	io.Copy(to, from)
+	to.Close()
+	from.Close()
+	k.mu.Lock()
+	delete(k.conns, to)
+	delete(k.conns, from)
+	k.mu.Unlock()
+}
+
+func (k *link) set(cut bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.cut = cut
+	if cut {
+		for conn := range k.conns {
+			conn.Close()
+		}
+	}
+}
+
+// trouble kills controllers and cuts links until it is stopped.
+func (w *world) trouble(c *cli, random *rand.Rand, stop <-chan struct{}) {
+	every := func(mean time.Duration, what func()) {
+		for mean > 0 {
+			w.mu.Lock()
+			wait := time.Duration(float64(mean) * (0.5 + random.Float64()))
+			w.mu.Unlock()
+			select {
+			case <-stop:
+				return
+			case <-time.After(wait):
+				what()
+			}
+		}
+	}
+	pick := func(n int) int {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return random.IntN(n)
+	}
+	go every(c.Kills, func() {
+		cell := w.cells[pick(len(w.cells))]
+		p := cell.nodes[pick(len(cell.nodes))]
+		away := time.Duration(200+pick(6000)) * time.Millisecond
+		w.kills++
+		w.say("kill %s for %v", p.name, away)
+		p.kill()
+		time.Sleep(away)
+		if err := p.begin(c.Binary); err != nil {
+			fmt.Fprintln(os.Stderr, "cellsload:", err)
+		}
+	})
+	every(c.Cuts, func() {
+		if len(w.links) == 0 {
+			return
+		}
+		one := w.links[pick(len(w.links))]
+		lasting := time.Duration(1000+pick(9000)) * time.Millisecond
+		w.cuts++
+		w.say("cut %s to %s for %v", one.from, one.to, lasting)
+		for _, cut := range []bool{true, false} {
+			for _, k := range w.links {
+				if k.from == one.from && k.to == one.to {
+					k.set(cut)
+				}
+			}
+			if cut {
+				time.Sleep(lasting)
+			}
+		}
+	})
+}
+
+func (w *world) say(format string, args ...any) {
+	if w.verbose {
+		fmt.Printf(format+"\n", args...)
+	}
+}
+
+// mend lets all troubles end.
+func (w *world) mend() {
+	time.Sleep(7 * time.Second) // what is away comes back
+	for _, k := range w.links {
+		k.set(false)
+	}
+}
+
+// sample looks twice a second at how much room is idle while jobs wait.
+func (w *world) sample(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(500 * time.Millisecond):
+		}
+		if w.waiting.Load() == 0 {
+			continue
+		}
+		used, total := 0.0, 0.0
+		for _, c := range w.cells {
+			for _, m := range c.machines {
+				used += float64(m.used.Load())
+				total += machineCPUs
+			}
+		}
+		w.mu.Lock()
+		w.idle += 1 - used/total
+		w.samples++
+		w.mu.Unlock()
+	}
+}
+
+// end stops all that was started.
+func (w *world) end() {
+	close(w.stop)
+	for _, c := range w.cells {
+		for _, p := range c.nodes {
+			p.kill()
+		}
+	}
+	for _, f := range w.closers {
+		f()
+	}
+}
