--- /dev/null
+++ b/internal/controller/loancost_test.go
@@ -0,0 +1,152 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/cells"
+	"example.org/ivytrestle/internal/loan"
+	"example.org/ivytrestle/internal/store"
+)
+
+// What a loan costs the two state services is bounded: at home one change more than a job
+// that runs there, at the host five.
+func TestWritesOfALoan(t *testing.T) {
+	simulateCells(t, []int{1, 4}, func(g *cellGroup) {
+		home, host := g.cells[0], g.cells[1]
+		ids := g.burst(home, 100, 9, 5*time.Second)
+		g.settle(4 * time.Minute)
+		counts := func(c *cell) (s CellsStatus) {
+			c.leader().look(func(o *Controller) { s = *o.leadership.loans.status(time.Now()) })
+			return s
+		}
+		out, in := counts(home).Counts, counts(host).Counts
+		if out.Lent == 0 || out.Done+out.TakenBack != out.Lent || in.Accepted != out.Lent {
+			t.Fatalf("home %+v, host %+v of %d jobs", out, in, len(ids))
+		}
+		// Each is lent and ended or taken back, accepted, ended and forgotten.
+		home.same("changes at home", out.Written, 2*out.Lent)
+		if in.Written > 3*out.Lent {
+			t.Errorf("%d changes at the host for %d loans", in.Written, out.Lent)
+		}
+	})
+}
+
+// lendingLeader is the leader of a full cell with a neighbour that has room.
+func lendingLeader(b *testing.B, machines, jobs int) *leadership {
+	b.Helper()
+	r, _ := full(b, machines, 40)
+	c := r.c
+	c.Cells = &cells.Settings{Cell: "cell-a", MaxLoans: 100, Neighbours: []cells.Neighbour{{Cell: "cell-b"}}}
+	c.Policy.Spill.After = time.Hour // it looks, and lends nothing
+	r.loans.init(r)
+	n := r.loans.neighbours["cell-b"]
+	n.heard = time.Now().Add(time.Hour)
+	n.advert = loan.Advert{Accepting: true, CPUs: 1e4, CancelS: 30, Types: []loan.MachineType{{Name: "small", CPUs: 16, MemoryGB: 64, Zones: []string{"a"}}}}
+	now := time.Now()
+	for i := range jobs {
+		s := spec(fmt.Sprint("job-9", i), 10)
+		s.Team = []string{"red", "blue"}[i%2]
+		r.addRecord(store.ActivePrefix+s.ID, store.ActiveRecord{Spec: *s, Accepted: now}, uint64(10_000+i))
+	}
+	for i := range 100 {
+		s := spec(fmt.Sprint("job-8", i), 10)
+		s.Team = "guest"
+		r.addRecord(store.ActivePrefix+s.ID, store.ActiveRecord{Guest: &loan.Guest{Home: "cell-b", Epoch: 1, Spec: *s, Grant: loan.Grant{CPUs: 10}}, Accepted: now}, uint64(50_000+i))
+	}
+	return r
+}
+
+// What the loans cost a leader in a second: what to lend and to call back, what guests
+// must make room for, and one request of a neighbour.
+func BenchmarkLoansSecond(b *testing.B) {
+	for _, n := range []struct{ machines, jobs int }{{250, 100}, {250, 1000}, {1000, 1000}, {4000, 1000}, {4000, 5000}} {
+		b.Run(fmt.Sprintf("%d machines, %d jobs", n.machines, n.jobs), func(b *testing.B) {
+			r := lendingLeader(b, n.machines, n.jobs)
+			for b.Loop() {
+				now := time.Now()
+				r.loans.scanHome(now)
+				r.loans.scanHost(now)
+				r.loans.answer(&loan.Request{Home: "cell-b", Term: 1}, now)
+			}
+		})
+	}
+}
+
+// The view of the loans names cells, phases and what is waited for.
+func TestLoansInStatus(t *testing.T) {
+	simulateCells(t, []int{1, 2}, func(g *cellGroup) {
+		home, host := g.cells[0], g.cells[1]
+		id := g.lentOut(g.burst(home, 100, 6, 20*time.Second))
+		time.Sleep(2 * time.Second)
+		g.setCut("cell-a", "cell-b", true)
+		time.Sleep(3 * time.Second)
+		home.leader().look(func(c *Controller) {
+			s := c.leadership.status(time.Now()).Cells
+			home.same("neighbour", []any{s.Neighbours[0].Cell, s.Neighbours[0].LastError, s.Neighbours[0].Lent > 0}, []any{"cell-b", errCut.Error(), true})
+			for _, l := range s.Lent {
+				if l.Job == id {
+					home.same("loan", []any{l.Cell, l.Phase, l.Waits}, []any{"cell-b", "begun", "its cell does not answer: cut"})
+				}
+			}
+			home.same("told", c.leadership.jobs[id].state().Cell, "cell-b")
+		})
+		host.leader().look(func(c *Controller) {
+			s := c.leadership.status(time.Now()).Cells
+			host.same("guests", []any{len(s.Guests) > 0, s.Neighbours[0].Guests > 0, s.Guests[0].Cell}, []any{true, true, "cell-a"})
+		})
+		g.setCut("cell-a", "cell-b", false)
+		g.settle(4 * time.Minute)
+	})
+}
+
+// Two cells offer to each other at the same moment: both jobs run, each once.
+func TestTwoCellsOfferAtOnce(t *testing.T) {
+	simulateCells(t, []int{2, 2}, func(g *cellGroup) {
+		for i, c := range g.cells {
+			n := g.cells[1-i]
+			ids := g.burst(c, 100*(i+1), 2, 5*time.Second)
+			lent := false
+			for range 100 {
+				c.leader().look(func(o *Controller) {
+					l := &o.leadership.loans
+					for _, id := range ids {
+						if j := o.leadership.jobs[id]; j != nil && !j.begun() && j.lends == 0 && !j.handover {
+							l.lend(j, l.neighbours[n.name], loan.Grant{CPUs: j.spec.CPUs})
+							lent = true
+						}
+					}
+				})
+				if lent {
+					break
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		}
+		g.settle(4 * time.Minute)
+		for id, j := range g.jobs {
+			if j.over != api.JobDone {
+				t.Errorf("%s: %s", id, j.over)
+			}
+		}
+		if g.away() < 2 {
+			t.Errorf("%d ran in the other cell", g.away())
+		}
+	})
+}
+
+// Over a slow link work is lent all the same, and none of it is lost.
+func TestSlowLink(t *testing.T) {
+	simulateCells(t, []int{1, 3}, func(g *cellGroup) {
+		g.mu.Lock()
+		g.delay = 1200 * time.Millisecond
+		g.mu.Unlock()
+		g.burst(g.cells[0], 100, 8, 15*time.Second)
+		g.settle(5 * time.Minute)
+		if g.away() == 0 {
+			t.Error("nothing was lent")
+		}
+	})
+}
--- a/internal/controller/loans.go
+++ b/internal/controller/loans.go
@@ -39,6 +39,7 @@
 	guestTurns []*queue.Team[*job]
 
 	counts  LoanCounts
+	room    openRoom
 	queue   []*loanChange
 	busy    bool
 	limiter *rate.Limiter
--- a/internal/controller/loanshome.go
+++ b/internal/controller/loanshome.go
@@ -119,22 +119,11 @@
 // the work before each job by the CPUs there are.
 func (l *loans) predictedStarts(now time.Time) []predictedStart {
 	r := l.leadership
-	cpus, free, work := 0.0, 0.0, 0.0
-	for _, m := range r.machines {
-		if !m.open(now) {
-			continue
-		}
-		cpus += m.cpus
-		free += m.freeCPUs()
-		for _, a := range m.attempts {
-			if a.job != nil && !a.exited {
-				left := a.job.spec.Estimate()
-				if !a.runningAt.IsZero() {
-					left -= now.Sub(a.runningAt)
-				}
-				work += a.job.spec.CPUs * max(0, left.Seconds())
-			}
-		}
+	room := l.openRoom(now)
+	free, work := room.freeCPUs, 0.0
+	for _, j := range r.jobs {
+		// What runs is about half through.
+		work += float64(len(j.live)) * j.spec.CPUs * j.spec.EstimateS / 2
 	}
 	var jobs []*job
 	for _, t := range r.turns {
@@ -160,7 +149,7 @@
 	out := make([]predictedStart, 0, len(jobs))
 	for _, j := range jobs {
 		want := float64(j.flight.Untaken()) * j.spec.CPUs
-		out = append(out, predictedStart{j, min(loan.PredictedWait(work, cpus, free), latest)})
+		out = append(out, predictedStart{j, min(loan.PredictedWait(work, room.cpus, free), latest)})
 		free -= want
 		work += want * j.spec.EstimateS
 	}
@@ -283,12 +272,7 @@
 // recall wants back what could start here at once and has not begun there.
 func (l *loans) recall(waits []predictedStart, now time.Time) {
 	r := l.leadership
-	free, recalled := 0.0, 0
-	for _, m := range r.machines {
-		if m.open(now) {
-			free += m.freeCPUs()
-		}
-	}
+	free, recalled := l.openRoom(now).freeCPUs, 0
 	for _, w := range waits {
 		free -= float64(w.job.flight.Untaken()) * w.job.spec.CPUs
 	}
--- a/internal/controller/loanshost.go
+++ b/internal/controller/loanshost.go
@@ -414,14 +414,8 @@
 func (l *loans) advert(now time.Time) loan.Advert {
 	r := l.leadership
 	a := loan.Advert{CancelS: r.c.Settings.Site.Workers.CancelS}
-	total := 0.0
-	for _, m := range r.machines {
-		if m.open(now) {
-			a.CPUs += m.freeCPUs()
-			a.GPUs += m.gpus - m.usedGPUs
-			total += m.cpus
-		}
-	}
+	room := l.openRoom(now)
+	a.CPUs, a.GPUs = room.freeCPUs, room.freeGPUs
 	guests := 0.0
 	for _, j := range r.jobs {
 		if j.lent != nil || j.cancelPending || len(j.awaits) > 0 {
@@ -435,7 +429,7 @@
 		a.CPUs -= cpus
 		a.GPUs -= float64(j.flight.Untaken()) * j.spec.GPUs
 	}
-	a.CPUs = max(0, min(a.CPUs, r.c.Policy.Spill.GuestShare*total-guests))
+	a.CPUs = max(0, min(a.CPUs, r.c.Policy.Spill.GuestShare*room.cpus-guests))
 	a.GPUs = max(0, a.GPUs)
 	for _, t := range r.c.types.load() {
 		a.Types = append(a.Types, loan.MachineType{Name: t.Name, CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB, Zones: t.Zones, FetchGBs: t.FetchGBs})
@@ -510,7 +504,7 @@
 // lackOfGuarantees is how many CPUs waiting work within the teams' guarantees lacks.
 func (l *loans) lackOfGuarantees(now time.Time) float64 {
 	r := l.leadership
-	lack := 0.0
+	lack := -l.openRoom(now).freeCPUs
 	for _, t := range r.turns {
 		left := t.CPUs - t.UsedCPUs
 		for _, j := range t.Items() {
@@ -525,10 +519,27 @@
 			lack += cpus
 		}
 	}
-	for _, m := range r.machines {
+	return lack
+}
+
+// openRoom is what the open machines have, and have free.
+type openRoom struct {
+	at                       time.Time
+	cpus, freeCPUs, freeGPUs float64
+}
+
+// openRoom sums up the open machines, once a tick.
+func (l *loans) openRoom(now time.Time) openRoom {
+	if now.Sub(l.room.at) < tickInterval {
+		return l.room
+	}
+	l.room = openRoom{at: now}
+	for _, m := range l.leadership.machines {
 		if m.open(now) {
-			lack -= m.freeCPUs()
+			l.room.cpus += m.cpus
+			l.room.freeCPUs += m.freeCPUs()
+			l.room.freeGPUs += m.gpus - m.usedGPUs
 		}
 	}
-	return lack
+	return l.room
 }
--- a/internal/controller/versions_test.go
+++ b/internal/controller/versions_test.go
@@ -11,6 +11,7 @@
 
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/cancellation"
+	"example.org/ivytrestle/internal/loan"
 	"example.org/ivytrestle/internal/store"
 )
 
@@ -841,3 +842,28 @@
 		v.same("after the cut", len(v.running("job-2"))+len(v.running("job-3")), 9)
 	})
 }
+
+// A record of a lent job, or of a guest, under a leader of the version in production: it
+// places nothing of it, calls a lent job pending and not lost, and the next leader of this
+// version finds the loan as it was.
+func TestLoansUnderAnOldLeader(t *testing.T) {
+	playMixed(t, 2, true, func(v *mixed) {
+		v.old.passesOver = []string{store.ActivePrefix + "job-1", store.ActivePrefix + "job-2"}
+		lent, guest := spec("job-1", 2), spec("job-2", 2)
+		v.put(store.ActivePrefix+"job-1", store.ActiveRecord{Accepted: time.Now(), Lends: 1,
+			Lent: &loan.Lent{Host: "cell-b", Epoch: 5, Spec: *lent, Grant: loan.Grant{CPUs: 2}, Since: time.Now()}})
+		v.put(store.ActivePrefix+"job-2", store.ActiveRecord{Accepted: time.Now(),
+			Guest: &loan.Guest{Home: "cell-b", Epoch: 6, Spec: *guest, Grant: loan.Grant{CPUs: 2}, Since: time.Now()}})
+		v.seconds(8)
+		v.same("begun under the old leader", len(v.running("job-1"))+len(v.running("job-2")), 0)
+		v.bothTell("job-1", "pending")
+		v.handOver()
+		v.seconds(4)
+		v.new.look(func(c *Controller) {
+			r := c.leadership
+			v.same("lent", []any{r.jobs["job-1"].lent.Host, r.teams["red"].UsedCPUs}, []any{"cell-b", 2.0})
+			v.same("guest", r.jobs["job-2"].guest.Home, "cell-b")
+		})
+		v.same("begun of the lent job", len(v.running("job-1")), 0)
+	})
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -55,6 +55,7 @@
 // Serve answers the peers that connect to a listener.
 func Serve(ctx context.Context, ln net.Listener, h Handler, log *slog.Logger) error {
 	go func() { <-ctx.Done(); ln.Close() }()
+	open := make(chan struct{}, maxConns)
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
@@ -68,10 +69,23 @@
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
-		go serveConn(ctx, conn, h)
+		select {
+		case open <- struct{}{}:
+			go func() {
+				defer func() { <-open }()
+				serveConn(ctx, conn, h)
+			}()
+		default:
+			log.Warn("too many connections of controllers", "from", conn.RemoteAddr())
+			conn.Close()
+		}
 	}
 }
 
+// maxConns bounds the connections that a listener serves. Each controller keeps one to
+// each other, and a buffer of its own.
+const maxConns = 128
+
 func serveConn(ctx context.Context, conn net.Conn, h Handler) {
 	defer conn.Close()
 	out := &outbox{conn: conn}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -171,3 +171,34 @@
 	}
 	all.Wait()
 }
+
+// Connections beyond the bound are closed at once, and those that are open go on.
+func TestConnectionsAreBounded(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go Serve(t.Context(), ln, answers{}, slog.New(slog.DiscardHandler))
+	first := NewClient(ln.Addr().String())
+	if _, err := first.Job(t.Context(), "job-1"); err != nil {
+		t.Fatal(err)
+	}
+	for range maxConns - 1 {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+	}
+	over, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer over.Close()
+	if n, err := over.Read(make([]byte, 1)); err == nil {
+		t.Errorf("read %d bytes of one connection too many", n)
+	}
+	if _, err := first.Job(t.Context(), "job-1"); err != nil {
+		t.Errorf("an open connection: %v", err)
+	}
+}
