--- a/internal/loadtest/cellsload/machine.go
+++ b/internal/loadtest/cellsload/machine.go
@@ -131,6 +131,7 @@
 
 func (m *machine) obey(term uint64, orders []api.Order) {
 	m.rep.Term = max(m.rep.Term, term)
+	m.cell.world.ledger.answered(term)
 	for _, o := range orders {
 		at := slices.IndexFunc(m.rep.Tasks, func(t api.TaskReport) bool { return t.Task == o.Task && t.Attempt == o.Attempt })
 		switch {
@@ -139,6 +140,7 @@
 			m.ends[o.Task] = time.Now().Add(time.Duration(float64(taskTime) * (0.5 + rand.Float64())))
 			m.used.Add(taskCPUs)
 			m.cell.world.ledger.on(o.Task, m.cell, m.rep.Machine)
+			m.cell.world.ledger.decided(term)
 		case o.Verb == api.VerbStop && at >= 0:
 			if m.rep.Tasks[at].Phase != api.TaskExited {
 				m.off(o.Task, false)
@@ -177,12 +179,38 @@
 	// completed and completed again.
 	twice, doneTwice int
 	done             map[string]bool
-	home             map[string]*cell
-	problems         []string
+	// firstAnswer and firstStart are when a machine was first answered, and told to
+	// start a task, in each term.
+	firstAnswer, firstStart map[uint64]time.Time
+	home                    map[string]*cell
+	problems                []string
 }
 
 func newLedger() *ledger {
-	return &ledger{at: map[string]string{}, begun: map[string]time.Time{}, away: map[string]bool{}, done: map[string]bool{}, home: map[string]*cell{}}
+	return &ledger{at: map[string]string{}, begun: map[string]time.Time{}, away: map[string]bool{}, done: map[string]bool{}, home: map[string]*cell{},
+		firstAnswer: map[uint64]time.Time{}, firstStart: map[uint64]time.Time{}}
+}
+
+// answered notes an answer in a term, and decided an order to start a task.
+func (l *ledger) answered(term uint64) { l.first(l.firstAnswer, term) }
+func (l *ledger) decided(term uint64)  { l.first(l.firstStart, term) }
+
+func (l *ledger) first(of map[uint64]time.Time, term uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if of[term].IsZero() {
+		of[term] = time.Now()
+	}
+}
+
+// term is the latest one that a machine has heard of.
+func (l *ledger) term() (latest uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for term := range l.firstAnswer {
+		latest = max(latest, term)
+	}
+	return latest
 }
 
 func (l *ledger) on(task string, c *cell, machine string) {
--- a/internal/loadtest/cellsload/main.go
+++ b/internal/loadtest/cellsload/main.go
@@ -30,6 +30,10 @@
 	Repeat   int           `default:"1" help:"How often all is played."`
 	Seed     uint64        `default:"1" help:"Of the troubles' times and places."`
 	Direct   bool          `help:"Print each trouble."`
+	// Takeovers and Away measure one cell whose leader ends and does not come back soon.
+	Takeovers int           `help:"Instead: end the leader of one cell so many times, and measure how long the takeover takes."`
+	Away      time.Duration `default:"40s" help:"How long an ended leader stays away."`
+	Extra     []string      `help:"Further arguments of each controller." placeholder:"ARG"`
 }
 
 // Run plays the load as often as asked.
@@ -39,6 +43,9 @@
 		return err
 	}
 	c.Binary = binary
+	if c.Takeovers > 0 {
+		return c.measureTakeovers()
+	}
 	for i := range c.Repeat {
 		result, err := c.play(c.Seed + uint64(i))
 		if err != nil {
--- /dev/null
+++ b/internal/loadtest/cellsload/takeover.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+)
+
+// measureTakeovers ends the leader of one cell under load, again and again, and tells how
+// long it takes until machines are answered and tasks started in the next term.
+func (c *cli) measureTakeovers() error {
+	dir, err := os.MkdirTemp("", "cellsload")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	c.Cells, c.Alone, c.High, c.Load, c.Phase = 1, true, 1.2, 24*time.Hour, 24*time.Hour
+	w, err := newWorld(c, dir)
+	if err != nil {
+		return err
+	}
+	defer w.end()
+	time.Sleep(8 * time.Second)
+	go w.load(c)
+	time.Sleep(5 * time.Second)
+	var answers, starts []time.Duration
+	for range c.Takeovers {
+		answer, start, err := w.takeover(c)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("first answer to a machine after %.2f s, first start after %.2f s\n", answer.Seconds(), start.Seconds())
+		answers, starts = append(answers, answer), append(starts, start)
+	}
+	fmt.Printf("%d takeovers: first answer after %.2f s (median), %.2f s (longest); first start after %.2f s, %.2f s; %d tasks on two machines, %d done twice\n", len(answers),
+		quantile(answers, 0.5).Seconds(), quantile(answers, 1).Seconds(), quantile(starts, 0.5).Seconds(), quantile(starts, 1).Seconds(), w.ledger.twice, w.ledger.doneTwice)
+	return nil
+}
+
+// leader is the controller that leads, by the status of each.
+func (c *cell) leader() *process {
+	client := &http.Client{Timeout: time.Second}
+	for _, p := range c.nodes {
+		resp, err := client.Get("http://" + p.api + "/status")
+		if err != nil {
+			continue
+		}
+		var status struct {
+			Leading *struct {
+				ValidS float64 `json:"valid_s"`
+			} `json:"leading"`
+		}
+		err = json.NewDecoder(resp.Body).Decode(&status)
+		resp.Body.Close()
+		if err == nil && status.Leading != nil && status.Leading.ValidS > 0 {
+			return p
+		}
+	}
+	return nil
+}
+
+// takeover ends the leader, and waits for the next one's first answer and start.
+func (w *world) takeover(c *cli) (answer, start time.Duration, err error) {
+	l := w.ledger
+	leader := w.cells[0].leader()
+	if leader == nil {
+		return 0, 0, errors.New("nobody leads")
+	}
+	term, killed := l.term(), time.Now()
+	leader.kill()
+	for time.Since(killed) < 2*time.Minute {
+		time.Sleep(5 * time.Millisecond)
+		l.mu.Lock()
+		for t, at := range l.firstAnswer {
+			if t > term {
+				answer = at.Sub(killed)
+			}
+		}
+		for t, at := range l.firstStart {
+			if t > term {
+				start = at.Sub(killed)
+			}
+		}
+		l.mu.Unlock()
+		if start > 0 {
+			break
+		}
+	}
+	if start == 0 {
+		return 0, 0, errors.New("nobody took over")
+	}
+	time.Sleep(max(0, c.Away-time.Since(killed)))
+	if err := leader.begin(c.Binary); err != nil {
+		return 0, 0, err
+	}
+	time.Sleep(6 * time.Second)
+	return answer, start, nil
+}
--- a/internal/loadtest/cellsload/world.go
+++ b/internal/loadtest/cellsload/world.go
@@ -181,7 +181,7 @@
 		if cellsFile != "" {
 			p.args = append(p.args, "--cells", cellsFile)
 		}
-		p.args = append(p.args, "--config", path)
+		p.args = append(append(p.args, c.Extra...), "--config", path)
 		p.log = filepath.Join(dir, p.name+".log")
 	}
 	return nil
