Grants and promises by which a leader can be replaced before its lease ends

Pure, played on simulated time with clocks that run apart, processes that come back, late messages and several that want to take over (120 seeds).

--- /dev/null
+++ b/internal/grant/grant_test.go
@@ -0,0 +1,195 @@
+package grant
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Whatever the size of the group, a leader's grants and the promises of those who replace
+// it cannot be had at the same time.
+func TestQuorumsMeet(t *testing.T) {
+	for n := 1; n <= 9; n++ {
+		others := n - 1
+		if left := others - NeededPromises(n); left >= NeededGrants(n) && NeededGrants(n) > 0 {
+			t.Errorf("%d controllers: %d promises leave %d that can grant, and %d grants are needed", n, NeededPromises(n), left, NeededGrants(n))
+		}
+	}
+	if NeededGrants(3) != 1 || NeededPromises(3) != 2 || NeededGrants(5) != 2 || NeededPromises(5) != 3 {
+		t.Error("not the least that is safe")
+	}
+}
+
+// simulated is a group on simulated time: each controller has a clock that runs a little
+// fast or slow, processes end and come back, and messages take their time.
+type simulated struct {
+	random *rand.Rand
+	now    time.Duration
+	n      int
+	life   time.Duration
+	voters []*Voter
+	drift  []float64
+	// term is the one on record.
+	term uint64
+	// leaders are those of each term that may still decide.
+	leaders []*simulatedLeader
+	events  []simulatedEvent
+}
+
+type simulatedLeader struct {
+	node   int
+	term   uint64
+	holder *Holder
+}
+
+type simulatedEvent struct {
+	at time.Duration
+	do func()
+}
+
+// clock is what a controller's clock shows.
+func (s *simulated) clock(node int) time.Time {
+	return time.Unix(1_000_000, 0).Add(time.Duration(float64(s.now) * (1 + s.drift[node])))
+}
+
+func (s *simulated) after(d time.Duration, do func()) {
+	s.events = append(s.events, simulatedEvent{s.now + d, do})
+}
+
+// delay is how long a message takes; now and then it is held up.
+func (s *simulated) delay() time.Duration {
+	if s.random.IntN(10) == 0 {
+		return time.Duration(s.random.IntN(6000)) * time.Millisecond
+	}
+	return time.Duration(s.random.IntN(50)) * time.Millisecond
+}
+
+func (s *simulated) restart(node int) {
+	v := NewVoter(s.life, s.clock(node))
+	s.voters[node] = v
+	s.after(s.delay(), func() {
+		term := s.term
+		s.after(s.delay(), func() {
+			if s.voters[node] == v {
+				v.Begin(term)
+			}
+		})
+	})
+}
+
+// ask has a leader ask another controller for a grant.
+func (s *simulated) ask(l *simulatedLeader, node int) {
+	asked := s.clock(l.node)
+	s.after(s.delay(), func() {
+		granted := s.voters[node].Grant(l.term, s.clock(node))
+		s.after(s.delay(), func() {
+			if granted {
+				l.holder.Granted(string(rune('a'+node)), asked)
+			}
+		})
+	})
+}
+
+// replace has a controller collect promises against the present term, wait, and take over.
+func (s *simulated) replace(node int) {
+	term, promised := s.term, 0
+	longest := time.Duration(0)
+	began := s.clock(node)
+	take := func(wait time.Duration) {
+		promised++
+		if until := s.clock(node).Add(wait).Sub(began); until > longest {
+			longest = until
+		}
+		if promised == NeededPromises(s.n) {
+			var wake func()
+			wake = func() {
+				if s.clock(node).Sub(began) < longest {
+					s.after(20*time.Millisecond, wake)
+					return
+				}
+				if s.term == term { // the transaction's guard
+					s.term++
+					s.leaders = append(s.leaders, &simulatedLeader{node, s.term, NewHolder(s.life)})
+				}
+			}
+			wake()
+		}
+	}
+	for other := range s.n {
+		if other == int(s.leaders[len(s.leaders)-1].node) {
+			continue
+		}
+		if other == node {
+			take(s.voters[node].Promise(term, s.clock(node)))
+			continue
+		}
+		s.after(s.delay(), func() {
+			wait := s.voters[other].Promise(term, s.clock(other))
+			s.after(s.delay(), func() { take(wait) })
+		})
+	}
+}
+
+// deciding are the leaders that may decide at this moment. One decides up to effectTime
+// after it has looked.
+func (s *simulated) deciding() (terms []uint64) {
+	for _, l := range s.leaders {
+		if l.holder.Valid(NeededGrants(s.n), s.clock(l.node).Add(-effectTime)) {
+			terms = append(terms, l.term)
+		}
+	}
+	return terms
+}
+
+// Two leaders never decide at the same time, with clocks that run apart, processes that end
+// and come back, messages that are late, and several who want to take over.
+func TestOneLeaderDecides(t *testing.T) {
+	takeovers := 0
+	for seed := range uint64(120) {
+		s := &simulated{random: rand.New(rand.NewPCG(seed, 3)), n: 3 + 2*int(seed%2), life: 3 * time.Second, term: 1}
+		for range s.n {
+			s.drift = append(s.drift, (s.random.Float64()-0.5)/1000)
+			s.voters = append(s.voters, nil)
+		}
+		s.term = 0
+		for node := range s.n {
+			s.restart(node)
+		}
+		s.now = 20 * time.Second
+		s.term = 1
+		s.leaders = []*simulatedLeader{{0, 1, NewHolder(s.life)}}
+		for ; s.now < 4*time.Minute; s.now += 20 * time.Millisecond {
+			due := s.events
+			s.events = nil
+			for _, e := range due {
+				if e.at <= s.now {
+					e.do()
+				} else {
+					s.events = append(s.events, e)
+				}
+			}
+			if s.now%time.Second == 0 {
+				for _, l := range s.leaders[max(0, len(s.leaders)-2):] { // the last one goes on for a while
+					for node := range s.n {
+						if node != l.node {
+							s.ask(l, node)
+						}
+					}
+				}
+			}
+			switch s.random.IntN(600) {
+			case 0:
+				s.restart(s.random.IntN(s.n))
+			case 1, 2:
+				s.replace((s.leaders[len(s.leaders)-1].node + 1 + s.random.IntN(s.n-1)) % s.n)
+			}
+			if terms := s.deciding(); len(terms) > 1 {
+				t.Fatalf("seed %d, after %v: leaders of terms %v decide", seed, s.now, terms)
+			}
+		}
+		takeovers += len(s.leaders) - 1
+	}
+	if takeovers < 300 {
+		t.Errorf("only %d takeovers", takeovers)
+	}
+}
