A leader that is gone is replaced before its lease ends, where a file switches it on

Change: a leader decides only while another node grants it that (internal/grant), once all nodes know of it; two of three promise to grant its term nothing more, wait, and the election takes over by the same transaction as ever. Without grants nothing is started, rented or returned; leases go on being renewed. Resignations name their term: one of an earlier term, that came late, ended a later one.

--- a/cmd/ivytrestle/main.go
+++ b/cmd/ivytrestle/main.go
@@ -21,6 +21,7 @@
 	"example.org/ivytrestle/internal/config"
 	"example.org/ivytrestle/internal/daemon"
 	"example.org/ivytrestle/internal/policy"
+	"example.org/ivytrestle/internal/standby"
 )
 
 const version = "0.1.0"
@@ -40,14 +41,16 @@
 	Config string `required:"" placeholder:"FILE" help:"The platform's settings file (JSON)."`
 	Policy string `placeholder:"FILE" help:"The operators' settings (Starlark)."`
 	Cells  string `placeholder:"FILE" help:"The cells that lend each other capacity (TOML)."`
+	// Standby is a file for replacing leaders that are gone.
+	Standby string `placeholder:"FILE" help:"How a leader that is gone is replaced before its lease ends (TOML)."`
 }
 
 // loaded are the contents of the files.
 type loaded struct {
 	settings *config.Settings
 	policy   *policy.Policy
-	// cells is nil if no file names any.
-	cells *cells.Settings
+	// parts are those that have a file.
+	parts daemon.Parts
 }
 
 func (f *files) load() (*loaded, error) {
@@ -66,9 +69,16 @@
 	}
 	out := &loaded{settings: s, policy: p}
 	if f.Cells != "" {
-		out.cells, err = cells.Load(f.Cells, s.Node)
+		if out.parts.Cells, err = cells.Load(f.Cells, s.Node); err != nil {
+			return nil, err
+		}
+	}
+	if f.Standby != "" {
+		if out.parts.Standby, err = standby.Load(f.Standby); err != nil {
+			return nil, err
+		}
 	}
-	return out, err
+	return out, nil
 }
 
 type serveCmd struct{ files }
@@ -80,7 +90,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return daemon.Run(ctx, files.settings, files.policy, files.cells, daemon.Logger(os.Stderr, os.Getenv("LOG_LEVEL")))
+	return daemon.Run(ctx, files.settings, files.policy, files.parts, daemon.Logger(os.Stderr, os.Getenv("LOG_LEVEL")))
 }
 
 type checkCmd struct{ files }
@@ -92,8 +102,11 @@
 	}
 	s := files.settings
 	more := ""
-	if files.cells != nil {
-		more = fmt.Sprintf(", cell %s with %d neighbours", files.cells.Cell, len(files.cells.Neighbours))
+	if others := files.parts.Cells; others != nil {
+		more = fmt.Sprintf(", cell %s with %d neighbours", others.Cell, len(others.Neighbours))
+	}
+	if files.parts.Standby != nil {
+		more += fmt.Sprintf(", leaders replaced after %v without grants", files.parts.Standby.Grant())
 	}
 	fmt.Printf("%s: good (%d teams, %d other controllers%s)\n", s.Node, len(s.Site.Teams), len(s.Peers), more)
 	return nil
--- a/internal/controller/cancelled.go
+++ b/internal/controller/cancelled.go
@@ -123,6 +123,9 @@
 // minute what users have called off elsewhere. In an outage that the others see
 // as well nobody can call anything off.
 func (r *leadership) mayStart(now time.Time) bool {
+	if !r.mayDecide(now) {
+		return false
+	}
 	if now.Sub(r.cancellationsKnownAt(now)) <= r.c.proofInterval()+startSlack {
 		return true
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -20,6 +20,7 @@
 	"example.org/ivytrestle/internal/config"
 	"example.org/ivytrestle/internal/election"
 	"example.org/ivytrestle/internal/policy"
+	"example.org/ivytrestle/internal/standby"
 	"example.org/ivytrestle/internal/store"
 )
 
@@ -39,6 +40,12 @@
 	Report(ctx context.Context, node string, rep *api.Report) (api.ReportAnswer, error)
 	// Resign tells a node that self has stopped to act in a term.
 	Resign(ctx context.Context, node, self string, term uint64) error
+	// Grant asks a node to let this one decide as leader of a term for a while.
+	Grant(ctx context.Context, node string, term uint64) (granted bool, err error)
+	// Promise asks a node to grant a term nothing more, and returns for how long what
+	// it has granted may be valid. ErrUnavailable means that it would not: it hears
+	// the leader.
+	Promise(ctx context.Context, node string, term uint64) (wait time.Duration, err error)
 }
 
 // Config is what a controller is made of.
@@ -57,6 +64,8 @@
 	// there are none.
 	Cells *cells.Settings
 	Link  CellLink
+	// Standby says how a leader that is gone is replaced before its lease ends; nil: not.
+	Standby *standby.Settings
 }
 
 // Controller is one node's state and its owner.
@@ -65,7 +74,7 @@
 	records store.Records
 	mail    chan message
 	depose  chan uint64
-	resigns chan string
+	resigns chan election.Resignation
 	types   typesCell
 	// shut tells the health checks that users are better served elsewhere.
 	shut atomic.Bool
@@ -79,9 +88,10 @@
 	// sent is when machines were sent on to the leader, past this node.
 	sent map[string]time.Time
 	// directed is to whom machines were last told to report.
-	directed map[string]directed
-	final    *lru.Cache[string, api.JobState]
-	cancels  *cancellation.Log
+	directed    map[string]directed
+	final       *lru.Cache[string, api.JobState]
+	cancels     *cancellation.Log
+	replacement replacement
 	// reads are the reads of the store that users wait for, by job.
 	reads map[string]*readRound
 }
@@ -103,7 +113,7 @@
 	}
 	return &Controller{
 		Config: cfg, records: store.NewRecords(cfg.UserStore, cfg.Settings.Site.State),
-		mail: make(chan message, 256), depose: make(chan uint64, 4), resigns: make(chan string, 4), final: final,
+		mail: make(chan message, 256), depose: make(chan uint64, 4), resigns: make(chan election.Resignation, 4), final: final,
 		sent: map[string]time.Time{}, directed: map[string]directed{}, up: newRelayUp(cfg.Settings.Site.Limits),
 		reads: map[string]*readRound{}, cancels: cancellation.NewLog(cfg.Settings.Site.Workers, cfg.Settings.Site.Limits, time.Now()), peerTable: newPeerTable(cfg.Settings.Peers, time.Now()),
 	}
@@ -137,6 +147,7 @@
 			go c.watchPeer(ctx, p.Node)
 		}
 	}
+	c.replacement.run(ctx, c)
 	tick := time.NewTicker(followInterval)
 	defer tick.Stop()
 	interval := followInterval
@@ -154,6 +165,8 @@
 			c.up.tick(c, now)
 			if c.leadership != nil {
 				c.leadership.tick(now)
+			} else {
+				c.replacement.tick(c, now)
 			}
 		}
 	}
@@ -170,7 +183,7 @@
 }
 
 // Resigns is where the election hears which node has stopped to lead.
-func (c *Controller) Resigns() <-chan string { return c.resigns }
+func (c *Controller) Resigns() <-chan election.Resignation { return c.resigns }
 
 // Depose is where the election hears that a term is over.
 func (c *Controller) Depose() <-chan uint64 { return c.depose }
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -19,6 +19,7 @@
 	"example.org/ivytrestle/internal/config"
 	"example.org/ivytrestle/internal/election"
 	"example.org/ivytrestle/internal/policy"
+	"example.org/ivytrestle/internal/standby"
 	"example.org/ivytrestle/internal/store"
 	"example.org/ivytrestle/internal/store/storetest"
 )
@@ -97,6 +98,8 @@
 	// cells and link are set if there are other cells.
 	cells *cells.Settings
 	link  CellLink
+	// standby is set if leaders are replaced before their leases end.
+	standby *standby.Settings
 	// zones are the nodes' zones.
 	zones map[string]string
 	// dead are the machines that do not answer when asked directly, and tardy
@@ -251,7 +254,7 @@
 		}
 	}
 	log := slog.New(slog.DiscardHandler)
-	c := New(Config{Settings: s, Policy: pol, Store: st, Cloud: w.cloud, Peers: peers, Prober: w, Director: w.director, Log: log, Cells: w.cells, Link: w.link})
+	c := New(Config{Settings: s, Policy: pol, Store: st, Cloud: w.cloud, Peers: peers, Prober: w, Director: w.director, Log: log, Cells: w.cells, Link: w.link, Standby: w.standby})
 	ctx, cancel := context.WithCancel(context.Background())
 	cand := &election.Candidate{Node: name, Incarnation: fmt.Sprint(time.Now().UnixNano()), Store: st,
 		Lease: pol.LeaderLease, Renew: 3 * time.Second, Observer: c, Log: log, Depose: c.Depose(), Resigned: c.Resigns()}
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -12,6 +12,7 @@
 
 	"example.org/ivytrestle/internal/config"
 	"example.org/ivytrestle/internal/election"
+	"example.org/ivytrestle/internal/grant"
 	"example.org/ivytrestle/internal/queue"
 	"example.org/ivytrestle/internal/store"
 )
@@ -57,6 +58,11 @@
 	// awaitsLists are the records that list awaited jobs.
 	awaitsLists awaitsLists
 	loans       loans
+	// grants are what the other nodes let this one decide by, and bound is set once it
+	// decides only with enough of them; ungranted is since when it lacks them.
+	grants      *grant.Holder
+	bound       bool
+	ungranted   time.Time
 	down        relayDown
 	recorder    recorder
 	provisioner provisioner
@@ -128,6 +134,9 @@
 	r.awaitsLists.leadership = r
 	r.loans.init(r)
 	r.provisioner.init(r)
+	if c.Standby != nil {
+		r.grants = grant.NewHolder(c.Standby.Grant())
+	}
 	for _, t := range c.Settings.Site.Teams {
 		q := &queue.Team[*job]{Name: t.Name, CPUs: t.CPUs, CPUsMax: t.CPUsMax, GPUs: t.GPUs, GPUsMax: t.GPUsMax,
 			Share: c.Policy.Share(t.Name, max(t.CPUs, t.GPUs, 1))}
@@ -266,6 +275,9 @@
 	}
 	r.confirm.start()
 	r.recorder.flush(now)
+	if r.checkGrants(now); r.c.leadership != r {
+		return
+	}
 	r.loans.tick(now)
 	if !r.mayRenewLeases(now) || r.deaf(now) {
 		return
@@ -280,7 +292,9 @@
 	r.countHolders(now)
 	r.scanMachines(now)
 	r.scanOverdue(now)
-	r.provisioner.tick(now)
+	if r.mayDecide(now) {
+		r.provisioner.tick(now)
+	}
 	r.logUse(now)
 	r.logWaits(now)
 }
--- a/internal/controller/links_test.go
+++ b/internal/controller/links_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/cancellation"
@@ -74,3 +75,38 @@
 	}
 	return n.LeaderResigned(ctx, self, term)
 }
+
+// granting is a node that knows of grants.
+type granting interface {
+	PeerGrant(ctx context.Context, term uint64) (bool, error)
+	PeerPromise(ctx context.Context, term uint64) (time.Duration, error)
+}
+
+// grantingTo is the node at the other end, if it can be reached and knows of grants.
+func (l *links) grantingTo(name string) (granting, error) {
+	n, err := l.to(name)
+	if err != nil {
+		return nil, err
+	}
+	g, ok := n.(granting)
+	if !ok {
+		return nil, api.ErrUnavailable
+	}
+	return g, nil
+}
+
+func (l *links) Grant(ctx context.Context, name string, term uint64) (bool, error) {
+	n, err := l.grantingTo(name)
+	if err != nil {
+		return false, err
+	}
+	return n.PeerGrant(ctx, term)
+}
+
+func (l *links) Promise(ctx context.Context, name string, term uint64) (time.Duration, error) {
+	n, err := l.grantingTo(name)
+	if err != nil {
+		return 0, err
+	}
+	return n.PeerPromise(ctx, term)
+}
--- a/internal/controller/peertable.go
+++ b/internal/controller/peertable.go
@@ -27,6 +27,9 @@
 	Known   time.Duration
 	// KnowsLoans is set if it knows records of jobs that are lent between cells.
 	KnowsLoans bool
+	// KnowsGrants is set if it grants and promises, and Bound if it decides as leader
+	// only while it is granted that.
+	KnowsGrants, Bound bool
 }
 
 // peerTable is what a node knows of the others and of its own way to the state
@@ -252,7 +255,7 @@
 func (m resignedMsg) apply(c *Controller) {
 	c.Log.Info("leader has resigned", "leader", m.node, "term", m.term)
 	select {
-	case c.resigns <- m.node:
+	case c.resigns <- election.Resignation{Node: m.node, Term: m.term}:
 	default:
 	}
 }
@@ -278,13 +281,13 @@
 
 func (m peerStatusMsg) apply(c *Controller) {
 	now := time.Now()
-	st := PeerStatus{Leader: c.leader, Incarnation: c.up.incarnation, Known: -1, KnowsLoans: c.Cells != nil}
+	st := PeerStatus{Leader: c.leader, Incarnation: c.up.incarnation, Known: -1, KnowsLoans: c.Cells != nil, KnowsGrants: c.Standby != nil}
 	if m.from.Incarnation != st.Incarnation {
 		m.from.Number = 0
 	}
 	st.Cancels = c.cancels.After(m.from.Number, now)
 	if c.valid() {
-		st.Term = c.leadership.term.Number
+		st.Term, st.Bound = c.leadership.term.Number, c.leadership.bound
 		if c.leadership.loaded {
 			st.Known = now.Sub(c.leadership.cancellationsKnownAt(now))
 		}
--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -31,6 +31,16 @@
 // Resigned implements peer.Handler.
 func (cellHandler) Resigned(context.Context, *peer.Resignation) error { return peer.ErrUnable }
 
+// Grant implements peer.Handler.
+func (cellHandler) Grant(context.Context, *peer.GrantRequest) (*peer.GrantAnswer, error) {
+	return nil, peer.ErrUnable
+}
+
+// Promise implements peer.Handler.
+func (cellHandler) Promise(context.Context, *peer.PromiseRequest) (*peer.PromiseAnswer, error) {
+	return nil, peer.ErrUnable
+}
+
 // Loans implements peer.Handler.
 func (h cellHandler) Loans(ctx context.Context, r *peer.LoanRequest) (*peer.LoanAnswer, error) {
 	req, err := r.Unpack()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"example.org/ivytrestle/internal/netio"
 	"example.org/ivytrestle/internal/peer"
 	"example.org/ivytrestle/internal/policy"
+	"example.org/ivytrestle/internal/standby"
 	"example.org/ivytrestle/internal/store"
 	"example.org/ivytrestle/internal/worker"
 )
@@ -73,9 +74,15 @@
 	debug.SetGCPercent(300)
 }
 
+// Parts are those that files of their own switch on; nil: off.
+type Parts struct {
+	Cells   *cells.Settings
+	Standby *standby.Settings
+}
+
 // Run runs a controller until the context ends or it cannot go on.
-// Other cells may be nil: there are none.
-func Run(ctx context.Context, s *config.Settings, p *policy.Policy, others *cells.Settings, log *slog.Logger) error {
+func Run(ctx context.Context, s *config.Settings, p *policy.Policy, parts Parts, log *slog.Logger) error {
+	others := parts.Cells
 	tune(s.Site.Limits)
 	apiLn, err := netio.Listen(s.APIAddr)
 	if err != nil {
@@ -98,7 +105,7 @@
 	peers := newPeers(s.Peers)
 	machines := worker.NewClient()
 	cfg := controller.Config{
-		Settings: s, Policy: p, Store: st, Cloud: cloud.NewClient(s.Outside.Cloud, s.Site.Cloud),
+		Settings: s, Policy: p, Standby: parts.Standby, Store: st, Cloud: cloud.NewClient(s.Outside.Cloud, s.Site.Cloud),
 		UserStore: st.ForUsers(), Peers: peers, Prober: machines, Director: machines, Log: log,
 	}
 	if others != nil {
--- a/internal/daemon/load_test.go
+++ b/internal/daemon/load_test.go
@@ -112,7 +112,7 @@
 		b.Fatal(err)
 	}
 	pol.MinCPUs = 1e6 // no machine is given back
-	go Run(b.Context(), s, pol, nil, slog.New(slog.DiscardHandler))
+	go Run(b.Context(), s, pol, Parts{}, slog.New(slog.DiscardHandler))
 	plan.API = s.APIAddr
 	ask := func(p *loadtest.Plan) (c loadtest.Counts) {
 		if err := in.Encode(p); err != nil {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -44,7 +44,7 @@
 	}
 	pong := &peer.Pong{Term: st.Term, Leader: st.Leader, StoreOkMs: uint64(st.StoreOK.Milliseconds()), Incarnation: st.Incarnation,
 		Cancelled: st.Cancels.IDs, CancelFirst: st.Cancels.First, CancelMore: st.Cancels.More, CancelWholeMs: uint64(st.Cancels.Whole.Milliseconds())}
-	pong.KnowsLoans = st.KnowsLoans
+	pong.KnowsLoans, pong.KnowsGrants, pong.Bound = st.KnowsLoans, st.KnowsGrants, st.Bound
 	if st.Known >= 0 {
 		// Rounded up: it must not seem fresher than it is.
 		pong.KnownAgeMs = proto.Uint64(uint64(st.Known.Milliseconds()) + 1)
@@ -73,6 +73,23 @@
 	return nil, peer.ErrUnable
 }
 
+// Grant implements peer.Handler.
+func (h peerHandler) Grant(ctx context.Context, r *peer.GrantRequest) (*peer.GrantAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerWait)
+	defer cancel()
+	granted, err := h.c.PeerGrant(ctx, r.GetTerm())
+	return &peer.GrantAnswer{Granted: granted}, err
+}
+
+// Promise implements peer.Handler.
+func (h peerHandler) Promise(ctx context.Context, r *peer.PromiseRequest) (*peer.PromiseAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerWait)
+	defer cancel()
+	wait, err := h.c.PeerPromise(ctx, r.GetTerm())
+	// Rounded up: what was granted must not seem to end sooner.
+	return &peer.PromiseAnswer{WaitMs: uint64(wait.Milliseconds()) + 1}, err
+}
+
 // peers asks the other nodes.
 type peers map[string]*peer.Client
 
@@ -116,7 +133,7 @@
 	out := controller.PeerStatus{Term: st.Term, Leader: st.Leader, StoreOK: time.Duration(st.StoreOkMs) * time.Millisecond,
 		Incarnation: st.Incarnation, Known: -1, Cancels: cancellation.News{IDs: st.Cancelled, First: st.CancelFirst, More: st.CancelMore,
 			Whole: time.Duration(st.CancelWholeMs) * time.Millisecond}}
-	out.KnowsLoans = st.KnowsLoans
+	out.KnowsLoans, out.KnowsGrants, out.Bound = st.KnowsLoans, st.KnowsGrants, st.Bound
 	if st.KnownAgeMs != nil {
 		out.Known = time.Duration(*st.KnownAgeMs) * time.Millisecond
 	}
@@ -150,3 +167,25 @@
 	}
 	return cl.Resign(ctx, &peer.Resignation{Node: self, Term: term})
 }
+
+// Grant implements controller.PeerAsker.
+func (p peers) Grant(ctx context.Context, node string, term uint64) (bool, error) {
+	cl := p[node]
+	if cl == nil {
+		return false, api.ErrUnavailable
+	}
+	return cl.Grant(ctx, term)
+}
+
+// Promise implements controller.PeerAsker.
+func (p peers) Promise(ctx context.Context, node string, term uint64) (time.Duration, error) {
+	cl := p[node]
+	if cl == nil {
+		return 0, api.ErrUnavailable
+	}
+	wait, err := cl.Promise(ctx, term)
+	if errors.Is(err, peer.ErrUnable) {
+		err = api.ErrUnavailable
+	}
+	return wait, err
+}
--- /dev/null
+++ b/internal/deployfile/deployfile.go
@@ -0,0 +1,115 @@
+// Package deployfile reads the files that switch on parts of the program: TOML, checked
+// against a JSON schema. What is wrong with one is said in one line that names the field.
+package deployfile
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+)
+
+// Load reads a file of some kind into settings, whose fields have the names of the file's
+// in JSON tags, and checks them further.
+func Load(kind, path string, schema []byte, settings any, check func() error) error {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("%s: %w", kind, err)
+	}
+	if err = Parse(raw, schema, settings); err == nil {
+		err = check()
+	}
+	if err != nil {
+		return fmt.Errorf("%s %s: %w", kind, path, err)
+	}
+	return nil
+}
+
+// Parse reads the contents of a file into settings.
+func Parse(raw, schema []byte, settings any) error {
+	var document map[string]any
+	if err := toml.Unmarshal(raw, &document); err != nil {
+		return describe(err)
+	}
+	// The schema speaks of JSON, and so do the names of the settings' fields.
+	text, err := json.Marshal(document)
+	if err != nil {
+		return err
+	}
+	if err := validate(text, schema); err != nil {
+		return err
+	}
+	return json.Unmarshal(text, settings)
+}
+
+// describe is one line on what is wrong with the form of a file.
+func describe(err error) error {
+	var parse toml.ParseError
+	if errors.As(err, &parse) {
+		return fmt.Errorf("line %d: %s", parse.Position.Line, parse.Message)
+	}
+	return err
+}
+
+// validate checks a document against the schema, and names the first field at fault.
+func validate(text, schemaText []byte) error {
+	schema, err := compiled(schemaText)
+	if err != nil {
+		return err
+	}
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		return err
+	}
+	var invalid *jsonschema.ValidationError
+	err = schema.Validate(value)
+	if !errors.As(err, &invalid) {
+		return err
+	}
+	for len(invalid.Causes) > 0 {
+		invalid = invalid.Causes[0]
+	}
+	message := strings.TrimSpace(strings.SplitN(invalid.Error(), "\n", 2)[0])
+	if _, after, found := strings.Cut(message, ": "); found {
+		message = after
+	}
+	return fmt.Errorf("field %s: %s", fieldName(invalid.InstanceLocation), message)
+}
+
+// fieldName is a place in a document as one would write it.
+func fieldName(location []string) string {
+	if len(location) == 0 {
+		return "(file)"
+	}
+	name := ""
+	for i, part := range location {
+		switch {
+		case part != "" && strings.Trim(part, "0123456789") == "":
+			name += "[" + part + "]"
+		case i > 0:
+			name += "." + part
+		default:
+			name = part
+		}
+	}
+	return name
+}
+
+// compiled is the schema, ready for use.
+func compiled(schemaText []byte) (*jsonschema.Schema, error) {
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
+	if err != nil {
+		return nil, fmt.Errorf("schema: %w", err)
+	}
+	const name = "schema.json"
+	compiler := jsonschema.NewCompiler()
+	if err := compiler.AddResource(name, document); err != nil {
+		return nil, fmt.Errorf("schema: %w", err)
+	}
+	return compiler.Compile(name)
+}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -65,9 +65,15 @@
 	// Depose ends the present leadership when something else has shown that
 	// the term is over.
 	Depose <-chan uint64
-	// Resigned names nodes that have stopped to lead, so that their lease
-	// need not be waited for.
-	Resigned <-chan string
+	// Resigned names leaders that have stopped to act, or no longer may, so that
+	// their lease need not be waited for.
+	Resigned <-chan Resignation
+}
+
+// Resignation says that a node has stopped to act as leader of a term.
+type Resignation struct {
+	Node string
+	Term uint64
 }
 
 const callTimeout = 2 * time.Second
@@ -99,7 +105,7 @@
 	}
 	if cur.Mark == 0 {
 		c.Observer.Leader("")
-		return c.takeOver(ctx, cur.Mark)
+		return c.takeOver(ctx, cur.Mark, anyTerm)
 	}
 	var h Holder
 	if err := json.Unmarshal(cur.Value, &h); err != nil {
@@ -109,20 +115,24 @@
 		// Whatever incarnation wrote it is over, or lost the answer to its
 		// transaction: a new term is taken at once, without waiting for the
 		// lease to end.
-		return c.takeOver(ctx, cur.Mark)
+		return c.takeOver(ctx, cur.Mark, anyTerm)
 	}
 	c.Observer.Leader(h.Node)
 	resigned, err := c.follow(ctx, h.Node, cur.Mark)
-	if resigned {
-		// It acts for nobody any more. Should it have begun a new term since,
-		// the version of the key has changed, and this fails.
-		return c.takeOver(ctx, cur.Mark)
+	if resigned != anyTerm {
+		// It acts for nobody any more in that term. Should it have begun a new one
+		// since, this does nothing: the notice may have come late.
+		return c.takeOver(ctx, cur.Mark, resigned)
 	}
 	return err
 }
 
-// follow waits until the leader key changes, or its holder has resigned.
-func (c *Candidate) follow(ctx context.Context, holder string, from uint64) (resigned bool, err error) {
+// anyTerm is in place of a term where it does not matter which one is followed.
+const anyTerm = 0
+
+// follow waits until the leader key changes, or its holder has resigned. It returns the
+// term that the holder has resigned in, or anyTerm.
+func (c *Candidate) follow(ctx context.Context, holder string, from uint64) (resigned uint64, err error) {
 	const block = 20 * time.Second
 	type seen struct {
 		ch  store.Changes
@@ -142,22 +152,24 @@
 		for s = (seen{}); ; {
 			select {
 			case s = <-done:
-			case node := <-c.Resigned:
-				if node == holder {
-					return true, nil
+			case r := <-c.Resigned:
+				if r.Node == holder && r.Term != anyTerm {
+					return r.Term, nil
 				}
 				continue
 			}
 			break
 		}
 		if s.err != nil || len(s.ch.Events) > 0 {
-			return false, s.err
+			return anyTerm, s.err
 		}
 		from = max(from, s.ch.Ring)
 	}
 }
 
-func (c *Candidate) takeOver(ctx context.Context, leaderMark uint64) error {
+// takeOver begins a new term if the leader key still has a version, and the term on record
+// is the one that is followed, or anyTerm.
+func (c *Candidate) takeOver(ctx context.Context, leaderMark, followed uint64) error {
 	old, err := c.get(ctx, TermKey)
 	if err != nil {
 		return err
@@ -168,6 +180,9 @@
 			return fmt.Errorf("term key: %w", err)
 		}
 	}
+	if followed != anyTerm && tv.Number != followed {
+		return nil
+	}
 	tv.Number++
 	sent := time.Now()
 	cctx, cancel := context.WithTimeout(ctx, callTimeout)
--- /dev/null
+++ b/internal/election/election_test.go
@@ -0,0 +1,59 @@
+package election
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"example.org/ivytrestle/internal/store/storetest"
+)
+
+// observer notes the terms that a candidate has won.
+type observer struct{ term atomic.Uint64 }
+
+func (*observer) Leader(string)                {}
+func (o *observer) Won(term Term, _ time.Time) { o.term.Store(term.Number) }
+func (*observer) Extended(Term, time.Time)     {}
+func (o *observer) Lost(Term)                  { o.term.Store(0) }
+
+// A notice that a leader has resigned counts for the term that it names: one that comes
+// when the same node leads in a later term changes nothing.
+func TestResignationOfAnEarlierTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := storetest.New()
+		var a, b observer
+		begin := func(node string, o *observer) (chan<- Resignation, context.CancelFunc) {
+			ctx, cancel := context.WithCancel(context.Background())
+			resigned := make(chan Resignation, 1)
+			c := &Candidate{Node: node, Incarnation: node, Store: st, Lease: 30 * time.Second, Renew: 3 * time.Second,
+				Observer: o, Log: slog.New(slog.DiscardHandler), Resigned: resigned}
+			go c.Run(ctx)
+			time.Sleep(time.Second)
+			return resigned, cancel
+		}
+		_, endA := begin("a", &a)
+		resigned, endB := begin("b", &b)
+		endA()
+		time.Sleep(time.Second)
+		_, endA = begin("a", &a) // its next term
+		if a.term.Load() != 2 || b.term.Load() != 0 {
+			t.Fatalf("terms %d and %d", a.term.Load(), b.term.Load())
+		}
+		resigned <- Resignation{Node: "a", Term: 1}
+		time.Sleep(3 * time.Second)
+		if b.term.Load() != 0 {
+			t.Error("a notice of an earlier term was followed")
+		}
+		resigned <- Resignation{Node: "a", Term: 2}
+		time.Sleep(3 * time.Second)
+		if b.term.Load() != 3 {
+			t.Errorf("term %d after a resignation", b.term.Load())
+		}
+		endA()
+		endB()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -41,6 +41,10 @@
 	Resigned(ctx context.Context, r *Resignation) error
 	// Loans takes in what the leader of another cell says of the jobs that it lends.
 	Loans(ctx context.Context, r *LoanRequest) (*LoanAnswer, error)
+	// Grant lets the leader of a term decide for a while.
+	Grant(ctx context.Context, r *GrantRequest) (*GrantAnswer, error)
+	// Promise grants a term nothing more.
+	Promise(ctx context.Context, r *PromiseRequest) (*PromiseAnswer, error)
 }
 
 // maxInFlight bounds the questions of one connection that are being answered,
@@ -141,6 +145,10 @@
 		err = h.Resigned(ctx, k.Resignation)
 	case *Request_Loans:
 		resp.Loans, err = h.Loans(ctx, k.Loans)
+	case *Request_Grant:
+		resp.Grant, err = h.Grant(ctx, k.Grant)
+	case *Request_Promise:
+		resp.Promise, err = h.Promise(ctx, k.Promise)
 	default:
 		err = ErrUnable // a question of a later version
 	}
@@ -341,6 +349,27 @@
 	return resp.Loans, nil
 }
 
+// Grant asks the peer to let this node decide as leader of a term.
+func (c *Client) Grant(ctx context.Context, term uint64) (bool, error) {
+	resp, err := c.ask(ctx, &Request{Kind: &Request_Grant{Grant: &GrantRequest{Term: term}}})
+	if err != nil {
+		return false, err
+	}
+	return resp.Grant.GetGranted(), nil
+}
+
+// Promise asks the peer to grant a term nothing more.
+func (c *Client) Promise(ctx context.Context, term uint64) (time.Duration, error) {
+	resp, err := c.ask(ctx, &Request{Kind: &Request_Promise{Promise: &PromiseRequest{Term: term}}})
+	if err != nil {
+		return 0, err
+	}
+	if resp.Promise == nil {
+		return 0, ErrUnable
+	}
+	return time.Duration(resp.Promise.WaitMs) * time.Millisecond, nil
+}
+
 func (c *Client) ask(ctx context.Context, req *Request) (*Response, error) {
 	ch := make(chan *Response, 1)
 	out, seq, err := c.register(ctx, ch)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -38,6 +38,17 @@
 
 func (a answers) Loans(context.Context, *LoanRequest) (*LoanAnswer, error) { return nil, ErrUnable }
 
+func (a answers) Grant(_ context.Context, r *GrantRequest) (*GrantAnswer, error) {
+	return &GrantAnswer{Granted: r.Term == a.term}, nil
+}
+
+func (a answers) Promise(_ context.Context, r *PromiseRequest) (*PromiseAnswer, error) {
+	if r.Term != a.term {
+		return nil, ErrUnable
+	}
+	return &PromiseAnswer{WaitMs: 1500}, nil
+}
+
 func (a answers) Resigned(_ context.Context, r *Resignation) error {
 	if r.Term != a.term {
 		return errors.New("another term")
@@ -87,6 +98,18 @@
 	if err := c.Resign(ctx, &Resignation{Node: "n1", Term: 8}); !errors.Is(err, ErrUnable) {
 		t.Errorf("resign from another term: %v", err)
 	}
+	if granted, err := c.Grant(ctx, 9); err != nil || !granted {
+		t.Errorf("grant: %v, %v", granted, err)
+	}
+	if granted, err := c.Grant(ctx, 8); err != nil || granted {
+		t.Errorf("grant of another term: %v, %v", granted, err)
+	}
+	if wait, err := c.Promise(ctx, 9); err != nil || wait != 1500*time.Millisecond {
+		t.Errorf("promise: %v, %v", wait, err)
+	}
+	if _, err := c.Promise(ctx, 8); !errors.Is(err, ErrUnable) {
+		t.Errorf("promise of another term: %v", err)
+	}
 }
 
 // A peer that sends nonsense, or goes, fails the questions that wait; none may
--- /dev/null
+++ b/internal/standby/standby.go
@@ -0,0 +1,29 @@
+// Package standby reads and checks the file that lets other controllers replace a leader
+// which is gone before its lease at the state service ends.
+package standby
+
+import (
+	_ "embed"
+	"time"
+
+	"example.org/ivytrestle/internal/config"
+	"example.org/ivytrestle/internal/deployfile"
+)
+
+// Settings say how a leader is replaced.
+type Settings struct {
+	// GrantS is for how long the other controllers grant the leader that it decides.
+	GrantS float64 `json:"grant_s"`
+}
+
+// Grant is how long a grant lasts.
+func (s *Settings) Grant() time.Duration { return config.Seconds(s.GrantS) }
+
+//go:embed schema.json
+var schema []byte
+
+// Load reads and checks the file.
+func Load(path string) (*Settings, error) {
+	s := &Settings{}
+	return s, deployfile.Load("standby", path, schema, s, func() error { return nil })
+}
