An orderly stop hands the leadership over; status tells of grants

Need: a leader that was told to stop left its lease of 30 s behind. On the first signal it now stops to act, is not ready, and has another node take over (the notice that a shut out leader sends); a second signal ends it at once. Simulated: the next start within 2 s, with and without grants.

--- a/cmd/ivytrestle/main.go
+++ b/cmd/ivytrestle/main.go
@@ -90,6 +90,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	context.AfterFunc(ctx, stop) // a second signal ends the process at once
 	return daemon.Run(ctx, files.settings, files.policy, files.parts, daemon.Logger(os.Stderr, os.Getenv("LOG_LEVEL")))
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -92,6 +92,8 @@
 	final       *lru.Cache[string, api.JobState]
 	cancels     *cancellation.Log
 	replacement replacement
+	// leaving is set once the process is about to end.
+	leaving bool
 	// reads are the reads of the store that users wait for, by job.
 	reads map[string]*readRound
 }
@@ -213,6 +215,9 @@
 
 func (m wonMsg) apply(c *Controller) {
 	c.endLeadership()
+	if c.leaving {
+		return
+	}
 	c.leadership = newLeadership(c, m.term, m.until)
 }
 
--- a/internal/controller/peertable.go
+++ b/internal/controller/peertable.go
@@ -205,6 +205,9 @@
 // checkStoreAccess draws the conclusions: a node that the state service refuses
 // while it answers others can only fail its users, and cannot lead.
 func (c *Controller) checkStoreAccess(now time.Time) {
+	if c.leaving {
+		return
+	}
 	a := &c.peerTable
 	if a.storeOK || now.Sub(a.storeSince) < storeLostAfter {
 		if c.shut.Swap(false) {
--- a/internal/controller/replacement_test.go
+++ b/internal/controller/replacement_test.go
@@ -513,3 +513,24 @@
 	}
 	t.Logf("%d terms in all", terms)
 }
+
+// A leader that is told to stop hands over at once, with and without grants, and does not
+// take the leadership again.
+func TestPlannedHandover(t *testing.T) {
+	for _, grant := range []float64{0, 3} {
+		simulateStandby(t, grant, func(s *standbyCluster) {
+			n, term := s.leader()
+			began := time.Now()
+			n.Leave(context.Background())
+			if n.Ready() {
+				t.Error("users are still sent to it")
+			}
+			time.Sleep(time.Second)
+			s.end(n.Settings.Node)
+			time.Sleep(4 * time.Second)
+			if took := s.firstStart[term+1].Sub(began); took < 0 || took > 2*time.Second {
+				t.Errorf("next start after %v", took)
+			}
+		})
+	}
+}
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -36,10 +36,19 @@
 	Waits      map[string]int `json:"waits"`
 	FirstStart Latency        `json:"first_start_ms"`
 	Recorded   Latency        `json:"recorded_ms"`
+	// Grants tell whether the leader decides by the grants of others, if that is on.
+	Grants *GrantStatus `json:"grants,omitempty"`
 	// Cells are the loans to and from other cells, if there are any.
 	Cells *CellsStatus `json:"cells,omitempty"`
 }
 
+// GrantStatus tells whether a leader decides only while it is granted that, and whether
+// it is at present.
+type GrantStatus struct {
+	Bound bool `json:"bound"`
+	Held  bool `json:"held"`
+}
+
 // TeamStatus is one team's queue and use.
 type TeamStatus struct {
 	Name     string  `json:"name"`
@@ -112,6 +121,9 @@
 		Done: r.counts.done, FirstStart: latency(r.counts.firstStart), Recorded: latency(r.counts.recorded)}
 	s.Waits, _ = r.waits(now)
 	s.Cells = r.loans.status(now)
+	if r.c.Standby != nil {
+		s.Grants = &GrantStatus{Bound: r.bound, Held: r.granted(now)}
+	}
 	for _, m := range r.machines {
 		s.CPUs += m.cpus
 		s.UsedCPUs += m.usedCPUs
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -74,13 +74,17 @@
 	debug.SetGCPercent(300)
 }
 
+// leaveWithin is what a controller that is told to stop has to hand the leadership over.
+const leaveWithin = 2 * time.Second
+
 // Parts are those that files of their own switch on; nil: off.
 type Parts struct {
 	Cells   *cells.Settings
 	Standby *standby.Settings
 }
 
-// Run runs a controller until the context ends or it cannot go on.
+// Run runs a controller until the context ends, when it hands the leadership over, or until
+// it cannot go on.
 func Run(ctx context.Context, s *config.Settings, p *policy.Policy, parts Parts, log *slog.Logger) error {
 	others := parts.Cells
 	tune(s.Site.Limits)
@@ -112,7 +116,8 @@
 		cfg.Cells, cfg.Link = others, newCellLinks(others)
 	}
 	c := controller.New(cfg)
-	ctx, cancel := context.WithCancel(ctx)
+	stopped := ctx.Done()
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	cand := &election.Candidate{
 		Node: s.Node, Incarnation: rand.Text(), Store: st,
@@ -131,8 +136,12 @@
 	go func() { failed <- srv.Serve(apiLn) }()
 	log.Info("started", "node", s.Node, "zone", s.Zone, "api", s.APIAddr, "pid", os.Getpid())
 	select {
-	case <-ctx.Done():
+	case <-stopped:
+		lctx, done := context.WithTimeout(ctx, leaveWithin)
+		c.Leave(lctx)
+		done()
 		apiLn.Close()
+		log.Info("stopped", "node", s.Node)
 		return nil
 	case err := <-failed:
 		return err
--- a/internal/loadtest/cellsload/main.go
+++ b/internal/loadtest/cellsload/main.go
@@ -33,6 +33,7 @@
 	// Takeovers and Away measure one cell whose leader ends and does not come back soon.
 	Takeovers int           `help:"Instead: end the leader of one cell so many times, and measure how long the takeover takes."`
 	Away      time.Duration `default:"40s" help:"How long an ended leader stays away."`
+	Orderly   bool          `help:"Tell the leader to stop, in place of killing it."`
 	Extra     []string      `help:"Further arguments of each controller." placeholder:"ARG"`
 }
 
--- a/internal/loadtest/cellsload/takeover.go
+++ b/internal/loadtest/cellsload/takeover.go
@@ -70,7 +70,11 @@
 		return 0, 0, errors.New("nobody leads")
 	}
 	term, killed := l.term(), time.Now()
-	leader.kill()
+	if c.Orderly {
+		leader.stop()
+	} else {
+		leader.kill()
+	}
 	for time.Since(killed) < 2*time.Minute {
 		time.Sleep(5 * time.Millisecond)
 		l.mu.Lock()
--- a/internal/loadtest/cellsload/world.go
+++ b/internal/loadtest/cellsload/world.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"example.org/ivytrestle/internal/api"
@@ -240,6 +241,14 @@
 	p.cmd.Wait()
 }
 
+// stop tells the controller to end, and waits until it has.
+func (p *process) stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.cmd.Wait()
+}
+
 // link passes connections on to a controller's listener, until it is cut.
 type link struct {
 	from, to string
