--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -293,8 +294,7 @@
 			return "a task needs more than the team's limit"
 		}
 		for _, mt := range types {
-			if typeAllowed(s, mt.Name) && zoneAllowed(s, mt.Zones) &&
-				s.CPUs <= mt.CPUs+slack && s.GPUs <= mt.GPUs+slack && s.MemoryGB <= mt.MemoryGB+slack {
+			if taskFits(s, mt) {
 				return ""
 			}
 		}
@@ -303,28 +303,21 @@
 	return "unknown team"
 }
 
+// taskFits tells whether a task of a job may run on machines of a type, and fits them.
+func taskFits(s *api.JobSpec, t api.MachineType) bool {
+	return typeAllowed(s, t.Name) && zoneAllowed(s, t.Zones) &&
+		s.CPUs <= t.CPUs+slack && s.GPUs <= t.GPUs+slack && s.MemoryGB <= t.MemoryGB+slack
+}
+
 func typeAllowed(s *api.JobSpec, typ string) bool {
-	if s.Types == nil {
-		return true
-	}
-	for _, t := range s.Types {
-		if t == typ {
-			return true
-		}
-	}
-	return false
+	return s.Types == nil || slices.Contains(s.Types, typ)
 }
 
 func zoneAllowed(s *api.JobSpec, zones []string) bool {
 	if s.Zone == "" {
 		return len(zones) > 0
 	}
-	for _, z := range zones {
-		if z == s.Zone {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(zones, s.Zone)
 }
 
 // Known implements api.Backend.
--- a/internal/controller/guests.go
+++ b/internal/controller/guests.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/loan"
 	"example.org/ivytrestle/internal/queue"
 )
@@ -73,9 +74,9 @@
 	a.CPUs = max(0, min(a.CPUs, r.c.Policy.Spill.GuestShare*room.cpus-guests))
 	a.GPUs = max(0, a.GPUs)
 	for _, t := range r.c.types.load() {
-		a.Types = append(a.Types, loan.MachineType{Name: t.Name, CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB, Zones: t.Zones, FetchGBs: t.FetchGBs})
+		a.Types = append(a.Types, t)
 	}
-	slices.SortFunc(a.Types, func(x, y loan.MachineType) int { return strings.Compare(x.Name, y.Name) })
+	slices.SortFunc(a.Types, func(x, y api.MachineType) int { return strings.Compare(x.Name, y.Name) })
 	a.Accepting = a.CPUs > 0 && r.unheard == 0 && l.enabled()
 	return a
 }
--- a/internal/controller/lending.go
+++ b/internal/controller/lending.go
@@ -122,13 +122,7 @@
 	case j.lends >= policy.Lends || now.Sub(j.lentBefore[n.cell]) < policy.Cooldown:
 		return false
 	}
-	for _, t := range n.advert.Types {
-		if typeAllowed(&j.spec, t.Name) && zoneAllowed(&j.spec, t.Zones) &&
-			j.spec.CPUs <= t.CPUs+slack && j.spec.GPUs <= t.GPUs+slack && j.spec.MemoryGB <= t.MemoryGB+slack {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(n.advert.Types, func(t api.MachineType) bool { return taskFits(&j.spec, t) })
 }
 
 // grant is what a loan may use at a time: what the job wants, what its team may have, and
@@ -148,7 +142,7 @@
 }
 
 // fetchTime is how long the slowest type of machine needs to fetch a job's image.
-func fetchTime(s *api.JobSpec, types []loan.MachineType) time.Duration {
+func fetchTime(s *api.JobSpec, types []api.MachineType) time.Duration {
 	longest := 0.0
 	for _, t := range types {
 		if t.FetchGBs > 0 {
--- a/internal/controller/loancost_test.go
+++ b/internal/controller/loancost_test.go
@@ -44,7 +44,7 @@
 	r.loans.init(r)
 	n := r.loans.neighbours["cell-b"]
 	n.heard = time.Now().Add(time.Hour)
-	n.advert = loan.Advert{Accepting: true, CPUs: 1e4, CancelS: 30, Types: []loan.MachineType{{Name: "small", CPUs: 16, MemoryGB: 64, Zones: []string{"a"}}}}
+	n.advert = loan.Advert{Accepting: true, CPUs: 1e4, CancelS: 30, Types: []api.MachineType{{Name: "small", CPUs: 16, MemoryGB: 64, Zones: []string{"a"}}}}
 	now := time.Now()
 	for i := range jobs {
 		s := spec(fmt.Sprint("job-9", i), 10)
@@ -150,3 +150,45 @@
 		}
 	})
 }
+
+// A grant is whole tasks, within what the neighbour can spare and what the team's limits
+// leave, of CPUs and of GPUs; a guest never uses more than it.
+func TestGrantsInWholeTasks(t *testing.T) {
+	simulate(t, func(w *cluster) {
+		w.teams[0].GPUsMax = 3
+		n := w.start("n0")
+		n.look(func(c *Controller) {
+			l := &c.leadership.loans
+			for _, g := range []struct {
+				tasks      int
+				cpus, gpus float64
+				used       float64
+				spare      float64
+				want       loan.Grant
+			}{
+				{10, 3, 0, 0, 100, loan.Grant{CPUs: 15}},         // the limit is 16
+				{10, 3, 0, 8, 100, loan.Grant{CPUs: 6}},          // of which 8 are in use
+				{10, 3, 0, 0, 7, loan.Grant{CPUs: 6}},            // the neighbour spares 7
+				{2, 3, 0, 0, 100, loan.Grant{CPUs: 6}},           // it has two tasks
+				{10, 1, 1, 0, 100, loan.Grant{CPUs: 3, GPUs: 3}}, // three GPUs are allowed
+				{10, 3, 0, 14, 100, loan.Grant{}},
+			} {
+				s := spec("job-1", g.tasks)
+				s.CPUs, s.GPUs = g.cpus, g.gpus
+				team := c.leadership.teams["red"]
+				team.UsedCPUs = g.used
+				j := newJob(*s, team)
+				got := l.grant(j, g.spare)
+				w.same(fmt.Sprint(g), got, g.want)
+				j.guest = &loan.Guest{Grant: got}
+				begun := 0
+				for j.withinGrant() && begun < 100 {
+					begun++
+					j.zones["a"]++
+				}
+				w.same("begun of "+fmt.Sprint(g), float64(begun)*g.cpus, got.CPUs)
+			}
+			c.leadership.teams["red"].UsedCPUs = 0
+		})
+	})
+}
--- a/internal/controller/loanshost.go
+++ b/internal/controller/loanshost.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -157,13 +158,11 @@
 	case !store.FitsRecord(rec, r.c.Settings.Site.State.ValueKB):
 		return "larger than a record"
 	}
-	for _, t := range advert.Types {
-		if typeAllowed(s, t.Name) && zoneAllowed(s, t.Zones) && s.CPUs <= t.CPUs+slack && s.GPUs <= t.GPUs+slack && s.MemoryGB <= t.MemoryGB+slack {
-			advert.CPUs -= min(o.Grant.CPUs, float64(s.Tasks)*s.CPUs)
-			return ""
-		}
+	if !slices.ContainsFunc(advert.Types, func(t api.MachineType) bool { return taskFits(s, t) }) {
+		return "a task fits no machine type"
 	}
-	return "a task fits no machine type"
+	advert.CPUs -= min(o.Grant.CPUs, float64(s.Tasks)*s.CPUs)
+	return ""
 }
 
 // progress tells how a guest stands.
--- a/internal/loan/loan.go
+++ b/internal/loan/loan.go
@@ -162,23 +162,13 @@
 	Reason string
 }
 
-// MachineType is a type of machine that a cell can rent.
-type MachineType struct {
-	Name     string
-	CPUs     float64
-	GPUs     float64
-	MemoryGB float64
-	Zones    []string
-	FetchGBs float64
-}
-
 // Advert is what a cell has to spare.
 type Advert struct {
 	Accepting bool
 	CPUs      float64
 	GPUs      float64
 	CancelS   float64
-	Types     []MachineType
+	Types     []api.MachineType
 }
 
 // Answer is what a host says of all loans of a home cell, and of what it has to spare.
--- a/internal/peer/loans.go
+++ b/internal/peer/loans.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/loan"
 )
 
@@ -64,7 +65,7 @@
 	out := &loan.Answer{Host: a.Host, Term: a.Term, Refused: a.Refused,
 		Advert: loan.Advert{Accepting: advert.GetAccepting(), CPUs: advert.GetCpus(), GPUs: advert.GetGpus(), CancelS: advert.GetCancelS()}}
 	for _, t := range advert.GetTypes() {
-		out.Advert.Types = append(out.Advert.Types, loan.MachineType{Name: t.Name, CPUs: t.Cpus, GPUs: t.Gpus, MemoryGB: t.MemoryGb, Zones: t.Zones, FetchGBs: t.FetchGbs})
+		out.Advert.Types = append(out.Advert.Types, api.MachineType{Name: t.Name, CPUs: t.Cpus, GPUs: t.Gpus, MemoryGB: t.MemoryGb, Zones: t.Zones, FetchGBs: t.FetchGbs})
 	}
 	for _, s := range a.States {
 		state := loan.State{Job: s.Job, Epoch: loan.Epoch(s.Epoch), Phase: loan.Phase(s.Phase), Done: int(s.Done), Running: int(s.Running), Held: s.Held, Reason: s.Reason}
