--- a/internal/controller/handover.go
+++ b/internal/controller/handover.go
@@ -50,7 +50,11 @@
 			h.node, longest = name, n.StoreOK
 		}
 	}
-	c.Log.Info("leadership handed over", "term", h.term, "to", h.node)
+	if h.node == "" {
+		c.Log.Info("leadership ended, no other node in reach", "term", h.term)
+	} else {
+		c.Log.Info("leadership handed over", "term", h.term, "to", h.node)
+	}
 	c.endLeadership() // from here on this node acts for nobody
 	m.reply <- h
 }
