Loopback of cells: controllers' addresses that nothing else can have; those that end are told

Controllers now have a loopback address of their own and ports that are counted; one that ends by itself is told and counted, and the logs of a run with anything wrong are kept.

--- a/internal/loadtest/cellsload/main.go
+++ b/internal/loadtest/cellsload/main.go
@@ -62,7 +62,6 @@
 	if err != nil {
 		return nil, err
 	}
-	defer os.RemoveAll(dir)
 	random := rand.New(rand.NewPCG(seed, 1))
 	world, err := newWorld(c, dir)
 	if err != nil {
@@ -78,7 +77,13 @@
 	close(stop)
 	world.mend()
 	world.settle(4 * time.Minute)
-	return world.result(seed, time.Since(began)), nil
+	r := world.result(seed, time.Since(began))
+	if r.wrong() {
+		fmt.Println("files and logs are left in", dir)
+	} else {
+		os.RemoveAll(dir)
+	}
+	return r, nil
 }
 
 func main() {
--- a/internal/loadtest/cellsload/users.go
+++ b/internal/loadtest/cellsload/users.go
@@ -143,14 +143,20 @@
 	wait50, wait95, wait99             time.Duration
 	over50, over95                     time.Duration
 	idle                               float64
+	byItself                           int64
+}
+
+// wrong tells whether anything happened that must not.
+func (r *result) wrong() bool {
+	return r.twice+r.doneTwice+r.lost+r.none+r.many > 0 || r.byItself > 0
 }
 
 func (r *result) String() string {
 	return fmt.Sprintf("seed %d: %d jobs in %.0f s (%d not accepted), %d ran in another cell, %d loans, %d taken back, %d kills, %d cuts; "+
-		"wrong: %d tasks on two machines, %d done twice, %d jobs lost, %d without and %d with two final answers; "+
+		"wrong: %d tasks on two machines, %d done twice, %d jobs lost, %d without and %d with two final answers, %d controllers ended by themselves; "+
 		"first start after %.1f s (median), %.1f s (95%%), %.1f s (99%%); done after %.1f s, %.1f s (95%%); idle while jobs waited %.0f%%",
 		r.seed, r.jobs, r.took.Seconds(), r.refused, r.away, r.lent, r.takenBack, r.kills, r.cuts,
-		r.twice, r.doneTwice, r.lost, r.none, r.many,
+		r.twice, r.doneTwice, r.lost, r.none, r.many, r.byItself,
 		r.wait50.Seconds(), r.wait95.Seconds(), r.wait99.Seconds(), r.over50.Seconds(), r.over95.Seconds(), 100*r.idle)
 }
 
@@ -182,6 +188,11 @@
 	r.wait50, r.wait95, r.wait99 = quantile(waits, 0.5), quantile(waits, 0.95), quantile(waits, 0.99)
 	r.over50, r.over95 = quantile(overs, 0.5), quantile(overs, 0.95)
 	r.lent, r.takenBack = w.logged("msg=loan job="), w.logged(`msg="loan taken back"`)
+	for _, c := range w.cells {
+		for _, p := range c.nodes {
+			r.byItself += p.byItself.Load()
+		}
+	}
 	for _, p := range l.problems {
 		fmt.Println(p)
 	}
--- a/internal/loadtest/cellsload/world.go
+++ b/internal/loadtest/cellsload/world.go
@@ -38,6 +38,8 @@
 	users   sync.WaitGroup
 	stop    chan struct{}
 	closers []func()
+	// ports counts the addresses given to controllers.
+	ports int
 
 	mu   sync.Mutex
 	jobs []*userJob
@@ -64,16 +66,29 @@
 	log              string
 	mu               sync.Mutex
 	cmd              *exec.Cmd
+	// ended is closed once the process has; told is set if it was told to, and byItself
+	// counts the times it was not.
+	ended    chan struct{}
+	told     atomic.Bool
+	byItself atomic.Int64
 }
 
-// freeAddr is a loopback address that nothing listens on.
-func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+// host is a loopback address of this process's own, and firstPort the first that it gives a
+// controller; both lie apart from what the system gives to listeners and connections. A
+// controller must find its port free, also when it comes back. Once it was a simulated
+// machine's, which answers anything: users took their jobs for accepted, and machines
+// reported to it.
+func host() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1", 1+pid>>8&0x7f, pid&0xff)
+}
+
+const firstPort = 20000
+
+// newAddr is an address for a controller that none has yet.
+func (w *world) newAddr() string {
+	w.ports++
+	return fmt.Sprintf("%s:%d", host(), firstPort+w.ports)
 }
 
 func newWorld(c *cli, dir string) (*world, error) {
@@ -104,15 +119,7 @@
 func (w *world) newCell(name string, machines int) (*cell, error) {
 	c := &cell{world: w, name: name}
 	for i := range controllers {
-		p := &process{name: fmt.Sprintf("%s-n%d", name, i)}
-		var err error
-		if p.api, err = freeAddr(); err != nil {
-			return nil, err
-		}
-		if p.cells, err = freeAddr(); err != nil {
-			return nil, err
-		}
-		c.nodes = append(c.nodes, p)
+		c.nodes = append(c.nodes, &process{name: fmt.Sprintf("%s-n%d", name, i), api: w.newAddr(), cells: w.newAddr()})
 	}
 	for i := range machines {
 		m, err := newMachine(c, fmt.Sprintf("i-%s-%03d", name, i))
@@ -142,9 +149,7 @@
 	}
 	peers := map[string]string{}
 	for _, p := range cell.nodes {
-		if peers[p.name], err = freeAddr(); err != nil {
-			return err
-		}
+		peers[p.name] = w.newAddr()
 	}
 	cellsFile := ""
 	if !c.Alone {
@@ -228,25 +233,41 @@
 		return err
 	}
 	defer log.Close()
-	p.cmd = exec.Command(binary, p.args...)
+	p.cmd, p.ended = exec.Command(binary, p.args...), make(chan struct{})
 	p.cmd.Stderr = log
-	return p.cmd.Start()
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	go p.await(p.cmd, p.ended)
+	return nil
+}
+
+// await waits for a controller to end, and notes one that ended by itself.
+func (p *process) await(cmd *exec.Cmd, ended chan struct{}) {
+	err := cmd.Wait()
+	close(ended)
+	if !p.told.Swap(false) {
+		p.byItself.Add(1)
+		fmt.Fprintf(os.Stderr, "cellsload: %s ended by itself: %v\n", p.name, err)
+	}
 }
 
 // kill ends the process without a signal that it could handle.
 func (p *process) kill() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.told.Store(true)
 	p.cmd.Process.Kill()
-	p.cmd.Wait()
+	<-p.ended
 }
 
 // stop tells the controller to end, and waits until it has.
 func (p *process) stop() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.told.Store(true)
 	p.cmd.Process.Signal(syscall.SIGTERM)
-	p.cmd.Wait()
+	<-p.ended
 }
 
 // link passes connections on to a controller's listener, until it is cut.
