Tests: bookkeeping of the new harnesses under locks

go test -race, run on the new parts, found races in the tests' own counters and maps (a counting store, machines that hang, which node is up, a shared source of random numbers); none was in the program's code. What the tests check is unchanged.

--- a/internal/controller/cells_test.go
+++ b/internal/controller/cells_test.go
@@ -82,7 +82,7 @@
 		defer func() {
 			cancel()
 			for _, c := range g.cells {
-				for _, n := range c.nodes {
+				for _, n := range c.at() {
 					n.crash()
 				}
 			}
@@ -112,32 +112,31 @@
 
 // begin starts the cell's two controllers.
 func (c *cell) begin() {
-	c.nodes = nil
 	for i := range 2 {
 		n := c.start(fmt.Sprintf("n%d", i))
 		n.look(func(o *Controller) {
 			o.Policy.Spill.After, o.Policy.Spill.Gain, o.Policy.Spill.GuestShare = 2*time.Second, 2*time.Second, 1
 			o.Policy.MinCPUs = 1000
 		})
-		c.nodes = append(c.nodes, n)
+		c.set(i, n)
 	}
 }
 
 // crash ends a controller and starts it anew after a while.
 func (c *cell) crash(i int, away time.Duration) {
-	c.nodes[i].crash()
+	c.at()[i].crash()
 	time.Sleep(away)
 	n := c.start(fmt.Sprintf("n%d", i))
 	n.look(func(o *Controller) {
 		o.Policy.Spill.After, o.Policy.Spill.Gain, o.Policy.Spill.GuestShare = 2*time.Second, 2*time.Second, 1
 		o.Policy.MinCPUs = 1000
 	})
-	c.nodes[i] = n
+	c.set(i, n)
 }
 
 // leader is the controller that leads, or nil.
 func (c *cell) leader() *node {
-	for _, n := range c.nodes {
+	for _, n := range c.at() {
 		leads := false
 		n.look(func(o *Controller) { leads = o.valid() && o.leadership.loaded })
 		if leads {
@@ -186,7 +185,7 @@
 
 // take has the cell's leader take a request in.
 func (c *cell) take(req *loan.Request) (*loan.Answer, error) {
-	for _, n := range c.nodes {
+	for _, n := range c.at() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		answer, err := n.Loans(ctx, req)
 		cancel()
@@ -214,10 +213,8 @@
 func (g *cellGroup) live(ctx context.Context) {
 	for ctx.Err() == nil {
 		for _, c := range g.cells {
-			for _, k := range c.ks {
-				if time.Now().After(c.hangUntil) {
-					c.work(k)
-				}
+			for _, k := range c.working() {
+				c.work(k)
 			}
 		}
 		g.check()
@@ -225,6 +222,32 @@
 	}
 }
 
+// working are the machines that do not hang.
+func (c *cell) working() []*worker {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	if time.Now().Before(c.hangUntil) {
+		return nil
+	}
+	return c.ks
+}
+
+// at are the cell's controllers as they are at present.
+func (c *cell) at() []*node {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	return slices.Clone(c.nodes)
+}
+
+func (c *cell) set(i int, n *node) {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	for len(c.nodes) <= i {
+		c.nodes = append(c.nodes, nil)
+	}
+	c.nodes[i] = n
+}
+
 // work ends the tasks of a machine whose time is over, and has it report.
 func (c *cell) work(k *worker) {
 	k.mu.Lock()
@@ -244,7 +267,7 @@
 		}
 	}
 	k.mu.Unlock()
-	for _, n := range c.nodes {
+	for _, n := range c.at() {
 		if orders, err := k.send(n); err == nil {
 			k.obey(orders)
 			return
@@ -320,7 +343,7 @@
 	g.jobs[s.ID] = &cellJob{home: c, spec: s, takes: takes}
 	g.mu.Unlock()
 	for range 20 {
-		for _, n := range c.nodes {
+		for _, n := range c.at() {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			_, _, err := n.Submit(ctx, s)
 			cancel()
@@ -338,7 +361,7 @@
 	g.t.Helper()
 	j := g.job(id)
 	last := ""
-	for _, n := range j.home.nodes {
+	for _, n := range j.home.at() {
 		phase := j.home.phase(n, id)
 		switch phase {
 		case api.JobPending, api.JobRunning, api.JobDone, api.JobWithdrawn:
@@ -358,7 +381,7 @@
 	j := g.job(id)
 	for i := range seconds {
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-		st, err := j.home.nodes[i%len(j.home.nodes)].Abort(ctx, id)
+		st, err := j.home.at()[i%2].Abort(ctx, id)
 		cancel()
 		if err == nil {
 			g.told(j, st.Phase)
--- a/internal/controller/replacement_test.go
+++ b/internal/controller/replacement_test.go
@@ -107,6 +107,9 @@
 	ks   []*worker
 	// ran is how often each machine's tasks have been looked at.
 	ran map[string]int
+
+	// state guards what follows.
+	state sync.Mutex
 	// latest is the highest term in which a start was ordered, and firstStart when the
 	// first of each term was.
 	latest     uint64
@@ -199,8 +202,7 @@
 func (s *standbyCluster) live(ctx context.Context) {
 	for i := 0; ctx.Err() == nil; i++ {
 		if i%3 == 0 {
-			s.jobs++
-			job := spec(fmt.Sprint("job-", s.jobs), 2)
+			job := s.nextJob()
 			for _, n := range s.all() {
 				sctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
 				_, _, err := n.Submit(sctx, job)
@@ -233,31 +235,55 @@
 	}
 	for _, n := range s.all() {
 		name := n.Settings.Node
-		if only := s.only[k.rep.Machine]; only != "" && only != name || s.never[k.rep.Machine] == name {
+		s.state.Lock()
+		only, never := s.only[k.rep.Machine], s.never[k.rep.Machine]
+		s.state.Unlock()
+		if only != "" && only != name || never == name {
 			continue
 		}
 		orders, err := k.send(n)
 		if err != nil {
 			continue
 		}
-		for _, o := range orders {
-			if o.Verb != api.VerbStart {
-				continue
-			}
-			term := k.rep.Term
-			if term < s.latest {
-				s.t.Errorf("a start was ordered in term %d after one in term %d", term, s.latest)
-			}
-			s.latest, s.lastStart = max(s.latest, term), time.Now()
-			if s.firstStart[term].IsZero() {
-				s.firstStart[term] = time.Now()
-			}
-		}
+		s.ordered(k.rep.Term, orders)
 		k.obey(orders)
 		return
 	}
 }
 
+// ordered notes the starts that a machine was ordered in a term.
+func (s *standbyCluster) ordered(term uint64, orders []api.Order) {
+	s.state.Lock()
+	defer s.state.Unlock()
+	for _, o := range orders {
+		if o.Verb != api.VerbStart {
+			continue
+		}
+		if term < s.latest {
+			s.t.Errorf("a start was ordered in term %d after one in term %d", term, s.latest)
+		}
+		s.latest, s.lastStart = max(s.latest, term), time.Now()
+		if s.firstStart[term].IsZero() {
+			s.firstStart[term] = time.Now()
+		}
+	}
+}
+
+// nextJob is a job that was not submitted yet.
+func (s *standbyCluster) nextJob() *api.JobSpec {
+	s.state.Lock()
+	defer s.state.Unlock()
+	s.jobs++
+	return spec(fmt.Sprint("job-", s.jobs), 2)
+}
+
+// started is when the first start was ordered in a term, and when the last in any.
+func (s *standbyCluster) started(term uint64) (first, last time.Time) {
+	s.state.Lock()
+	defer s.state.Unlock()
+	return s.firstStart[term], s.lastStart
+}
+
 // A leader that ends and does not come back is replaced within seconds, and without grants
 // only when its lease has ended.
 func TestLeaderThatDoesNotComeBack(t *testing.T) {
@@ -271,7 +297,7 @@
 				began := time.Now()
 				s.end(n.Settings.Node)
 				time.Sleep(45 * time.Second)
-				at := s.firstStart[term+1]
+				at, _ := s.started(term + 1)
 				if took := at.Sub(began); at.IsZero() || took < c.least || took > c.most {
 					t.Errorf("next start after %v", took)
 				} else {
@@ -328,8 +354,8 @@
 					t.Errorf("replaced by %s in term %d", next.Settings.Node, now)
 				}
 				time.Sleep(10 * time.Second)
-				if time.Since(s.lastStart) > 3*time.Second {
-					t.Errorf("nothing starts in term %d since %v", now, time.Since(s.lastStart))
+				if _, last := s.started(now); time.Since(last) > 3*time.Second {
+					t.Errorf("nothing starts in term %d since %v", now, time.Since(last))
 				}
 				s.mesh.apart(leader, false, others...)
 				s.mesh.apart(others[0], false, others[1])
@@ -359,16 +385,17 @@
 			}
 			time.Sleep(time.Duration(off) * 130 * time.Millisecond)
 			for range 40 { // more than the machines can do
-				s.jobs++
 				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-				if _, _, err := n.Submit(ctx, spec(fmt.Sprint("job-", s.jobs), 2)); err != nil {
+				if _, _, err := n.Submit(ctx, s.nextJob()); err != nil {
 					t.Error(err)
 				}
 				cancel()
 			}
 			time.Sleep(time.Second)
+			s.state.Lock()
 			s.only["i-0"], s.only["i-1"] = leader, leader
 			s.never["i-2"], s.never["i-3"] = leader, leader
+			s.state.Unlock()
 			s.mesh.apart(leader, true, others...)
 			if off%4 < 2 {
 				// It does not learn of the next term, and nothing else holds it back.
@@ -404,7 +431,8 @@
 		began := time.Now()
 		s.end(n.Settings.Node)
 		time.Sleep(45 * time.Second)
-		if took := s.firstStart[term+1].Sub(began); took < 20*time.Second {
+		at, _ := s.started(term + 1)
+		if took := at.Sub(began); took < 20*time.Second {
 			t.Errorf("replaced after %v", took)
 		}
 	})
@@ -433,7 +461,8 @@
 		s.store.SetDown(false)
 		began := time.Now()
 		time.Sleep(20 * time.Second)
-		if took := s.firstStart[term+1].Sub(began); took < 0 || took > 8*time.Second {
+		at, _ := s.started(term + 1)
+		if took := at.Sub(began); took < 0 || took > 8*time.Second {
 			t.Errorf("next start %v after the outage", took)
 		}
 	})
@@ -460,7 +489,8 @@
 		began := time.Now()
 		s.end(n.Settings.Node)
 		time.Sleep(45 * time.Second)
-		if took := s.firstStart[term+1].Sub(began); took < 20*time.Second {
+		at, _ := s.started(term + 1)
+		if took := at.Sub(began); took < 20*time.Second {
 			t.Errorf("replaced after %v", took)
 		}
 	})
@@ -504,7 +534,7 @@
 				}
 				time.Sleep(45 * time.Second)
 				_, term := s.leader()
-				if term == 0 || s.firstStart[term].IsZero() {
+				if first, _ := s.started(term); term == 0 || first.IsZero() {
 					t.Errorf("nothing starts in term %d at last", term)
 				}
 				terms += term
@@ -528,7 +558,8 @@
 			time.Sleep(time.Second)
 			s.end(n.Settings.Node)
 			time.Sleep(4 * time.Second)
-			if took := s.firstStart[term+1].Sub(began); took < 0 || took > 2*time.Second {
+			at, _ := s.started(term + 1)
+			if took := at.Sub(began); took < 0 || took > 2*time.Second {
 				t.Errorf("next start after %v", took)
 			}
 		})
--- a/internal/controller/spillover_test.go
+++ b/internal/controller/spillover_test.go
@@ -114,7 +114,7 @@
 		time.Sleep(6 * time.Second)
 		// The next leader of the host refuses what it is offered.
 		host.nodes[0].crash()
-		host.nodes[0] = host.start("n0")
+		host.set(0, host.start("n0"))
 		host.store.Hold(nil)
 		for _, n := range host.nodes {
 			n.look(func(c *Controller) { c.Policy.Spill.GuestShare = 0 })
@@ -209,8 +209,10 @@
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			simulateCells(t, []int{2, 2, 2}, func(g *cellGroup) {
+				g.mu.Lock()
 				g.random = rand.New(rand.NewPCG(seed, 11))
 				g.repeat = 20 * time.Second
+				g.mu.Unlock()
 				random := rand.New(rand.NewPCG(seed, 12))
 				var ids []string
 				for round := range 6 {
@@ -263,14 +265,21 @@
 		c.crash(0, 100*time.Millisecond)
 		c.crash(1, 100*time.Millisecond)
 	case 5:
-		c.store.Lose(func(store.Txn) bool { return random.IntN(4) == 0 })
+		c.store.Lose(func(store.Txn) bool { return g.chance(4) })
 		time.AfterFunc(lasting, func() { c.store.Lose(nil) })
 	case 6:
-		c.store.Hold(func(txn store.Txn) bool { return txn.Records && random.IntN(4) == 0 })
+		c.store.Hold(func(txn store.Txn) bool { return txn.Records && g.chance(4) })
 		time.AfterFunc(lasting, func() { c.store.Hold(nil); c.store.Release() })
 	}
 }
 
+// chance is true one time in so many; it may be asked from anywhere.
+func (g *cellGroup) chance(n int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.random.IntN(n) == 0
+}
+
 func (g *cellGroup) mend() {
 	time.Sleep(30 * time.Second)
 	g.mu.Lock()
@@ -320,7 +329,9 @@
 		"while it runs": func(g *cellGroup, ids []string) string { return g.lentOut(ids) },
 		"while its machines hang": func(g *cellGroup, ids []string) string {
 			id := g.lentOut(ids)
+			g.mu.Lock()
 			g.cells[1].hangUntil = time.Now().Add(6 * time.Second)
+			g.mu.Unlock()
 			return id
 		},
 		"as it ends": func(g *cellGroup, ids []string) string {
@@ -495,7 +506,9 @@
 		for _, n := range host.nodes {
 			n.crash()
 		}
+		g.mu.Lock()
 		host.ks = nil // its machines are gone with it
+		g.mu.Unlock()
 		time.Sleep(3 * time.Minute)
 		home.same("while it is only silent", g.poll(id) == api.JobDone, false)
 		n := home.leader()
--- a/internal/store/awaits_test.go
+++ b/internal/store/awaits_test.go
@@ -22,13 +22,13 @@
 // beyond a number.
 type countedStore struct {
 	*storetest.Fake
-	requests, writes int
+	requests, writes atomic.Int64
 	// most is how many requests are answered; 0: all.
 	most int
 }
 
 func (c *countedStore) count() error {
-	if c.requests++; c.most > 0 && c.requests > c.most {
+	if n := c.requests.Add(1); c.most > 0 && int(n) > c.most {
 		return store.ErrRefused
 	}
 	return nil
@@ -52,7 +52,7 @@
 	if err := c.count(); err != nil {
 		return store.Result{}, err
 	}
-	c.writes += len(txn.Ops)
+	c.writes.Add(int64(len(txn.Ops)))
 	return c.Fake.Txn(ctx, txn)
 }
 
@@ -107,7 +107,7 @@
 			if !store.Fits(spec, lim.ValueKB) {
 				t.Fatal("does not fit")
 			}
-			st.requests = 0
+			st.requests.Store(0)
 			accept := func(what, phase string, created bool) {
 				t.Helper()
 				got, isNew, err := records.Accept(t.Context(), spec, time.Unix(1, 0))
@@ -116,8 +116,8 @@
 				}
 			}
 			accept("first", api.JobPending, true)
-			if parts := len(keysUnder(t, st, store.AwaitsPrefix)); st.requests > 20+parts {
-				t.Errorf("%d jobs in %d records: %d requests", len(ids), parts, st.requests)
+			if parts := len(keysUnder(t, st, store.AwaitsPrefix)); int(st.requests.Load()) > 20+parts {
+				t.Errorf("%d jobs in %d records: %d requests", len(ids), parts, int(st.requests.Load()))
 			}
 			a := activeRecord(t, st, "job-1")
 			if got, err := records.ReadAwaits(t.Context(), "job-1", a.Awaits); err != nil || !slices.Equal(got, ids) {
@@ -126,7 +126,7 @@
 			if !slices.Equal(a.Spec.Awaits, []string{store.AwaitsElsewhere}) {
 				t.Errorf("a version that knows of no lists reads %d names", len(a.Spec.Awaits))
 			}
-			st.writes = 0
+			st.writes.Store(0)
 			accept("repeated", api.JobPending, false)
 			spec.Awaits = append(slices.Clone(ids), "job-999999")
 			accept("repeated, naming what was never accepted", api.JobPending, false)
@@ -134,8 +134,8 @@
 			if _, _, err := records.Accept(t.Context(), spec, time.Unix(1, 0)); !errors.As(err, new(*store.NeverAcceptedError)) {
 				t.Errorf("never accepted: %v", err)
 			}
-			if st.writes > 0 {
-				t.Errorf("%d changes for repeats and refusals", st.writes)
+			if int(st.writes.Load()) > 0 {
+				t.Errorf("%d changes for repeats and refusals", int(st.writes.Load()))
 			}
 			putJob(t, st, "job-999999", api.JobWithdrawn)
 			accept("one of them is cancelled", api.JobWithdrawn, true)
@@ -278,13 +278,13 @@
 			records := store.NewRecords(st, config.StateLimits{ValueKB: 2, TxnOps: 3})
 			accept := func(id, want string) {
 				t.Helper()
-				st.requests = 0
+				st.requests.Store(0)
 				spec := &api.JobSpec{ID: id, Tasks: 1, Awaits: need(jobs)}
 				if got, _, err := records.Accept(t.Context(), spec, time.Unix(1, 0)); err != nil || got.Phase != want {
 					t.Errorf("%s: %+v, %v", id, got, err)
 				}
-				if st.requests > mostRequests {
-					t.Errorf("%s: %d requests", id, st.requests)
+				if int(st.requests.Load()) > mostRequests {
+					t.Errorf("%s: %d requests", id, int(st.requests.Load()))
 				}
 			}
 			accept("job-9001", api.JobPending)
@@ -292,9 +292,9 @@
 				t.Fatal(err)
 			}
 			accept("job-9002", api.JobWithdrawn)
-			st.requests = 0
-			if got, _, err := records.Lookup(t.Context(), "job-9001"); err != nil || got.Phase != api.JobWithdrawn || st.requests > mostRequests {
-				t.Errorf("asked for: %+v, %v, %d requests", got, err, st.requests)
+			st.requests.Store(0)
+			if got, _, err := records.Lookup(t.Context(), "job-9001"); err != nil || got.Phase != api.JobWithdrawn || int(st.requests.Load()) > mostRequests {
+				t.Errorf("asked for: %+v, %v, %d requests", got, err, int(st.requests.Load()))
 			}
 		})
 	}
@@ -315,7 +315,7 @@
 		}
 		records := store.NewRecords(st, config.StateLimits{ValueKB: 16, TxnOps: 12})
 		submit := func(id string, awaits []string) error {
-			st.requests = 0
+			st.requests.Store(0)
 			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 			defer cancel()
 			_, _, err := records.Accept(ctx, &api.JobSpec{ID: id, Tasks: 1, Awaits: awaits}, time.Unix(1, 0))
@@ -328,15 +328,15 @@
 		if tries < 2 || tries > 4 {
 			t.Errorf("%d tries of %d requests", tries, st.most)
 		}
-		if err := submit("job-2", ids); err != nil || st.requests > 15 {
-			t.Errorf("again: %d requests, %v", st.requests, err)
+		if err := submit("job-2", ids); err != nil || int(st.requests.Load()) > 15 {
+			t.Errorf("again: %d requests, %v", int(st.requests.Load()), err)
 		}
 		st.most = 0
 		records = store.NewRecords(st, records.Limits) // that remembers nothing
-		if err := submit("job-4", ids); err != nil || st.requests > 50 {
-			t.Errorf("in one try: %d requests, %v", st.requests, err)
+		if err := submit("job-4", ids); err != nil || int(st.requests.Load()) > 50 {
+			t.Errorf("in one try: %d requests, %v", int(st.requests.Load()), err)
 		}
-		t.Logf("%d names in one try: %d requests", len(ids), st.requests)
+		t.Logf("%d names in one try: %d requests", len(ids), int(st.requests.Load()))
 		for _, missing := range []string{"job-000000000", "job-0001", "job-020000000", "job-9", "job-0"} {
 			var never *store.NeverAcceptedError
 			if err := submit("job-3", append(slices.Clone(ids[:100]), missing)); !errors.As(err, &never) || !strings.HasSuffix(never.ID, missing) {
--- a/internal/store/jobcache_test.go
+++ b/internal/store/jobcache_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,19 +19,19 @@
 // their conditions.
 type counted struct {
 	*storetest.Fake
-	requests, conflicts int
+	requests, conflicts atomic.Int64
 }
 
 func (c *counted) Get(ctx context.Context, key string) (store.Entry, error) {
-	c.requests++
+	c.requests.Add(1)
 	return c.Fake.Get(ctx, key)
 }
 
 func (c *counted) Txn(ctx context.Context, txn store.Txn) (store.Result, error) {
-	c.requests++
+	c.requests.Add(1)
 	res, err := c.Fake.Txn(ctx, txn)
 	if err == nil && !res.OK {
-		c.conflicts++
+		c.conflicts.Add(1)
 	}
 	return res, err
 }
@@ -72,8 +73,8 @@
 			if _, created, err := r.Accept(context.Background(), awaiting("job-6", "job-5"), accepted); !created || err != nil {
 				t.Fatal(created, err)
 			}
-			if atOnce := st.requests == 6; atOnce != c.atOnce {
-				t.Errorf("%d requests for six jobs", st.requests)
+			if atOnce := int(st.requests.Load()) == 6; atOnce != c.atOnce {
+				t.Errorf("%d requests for six jobs", int(st.requests.Load()))
 			}
 		})
 	}
@@ -90,12 +91,12 @@
 			answer(r, awaiting(ids[i]))
 		}
 		answer(r, awaiting("job-2", ids...))
-		st.requests = 0
+		st.requests.Store(0)
 		if got := answer(r, awaiting("job-3", "job-2")); got != "201 pending" {
 			t.Errorf("answer %s", got)
 		}
-		if atOnce := st.requests == 1; atOnce != remembered {
-			t.Errorf("%d awaited: %d requests", awaited, st.requests)
+		if atOnce := int(st.requests.Load()) == 1; atOnce != remembered {
+			t.Errorf("%d awaited: %d requests", awaited, int(st.requests.Load()))
 		}
 	}
 }
@@ -195,13 +196,13 @@
 			if err := c.change(&store.Records{Store: st.Fake}); err != nil {
 				t.Fatal(err)
 			}
-			st.requests = 0
+			st.requests.Store(0)
 			got, found, err := r.Lookup(context.Background(), "job-5")
 			if got.Phase != c.want || !found || err != nil {
 				t.Errorf("%+v, %v, %v", got, found, err)
 			}
-			if once := st.requests == 1; once != c.once {
-				t.Errorf("%d requests", st.requests)
+			if once := int(st.requests.Load()) == 1; once != c.once {
+				t.Errorf("%d requests", int(st.requests.Load()))
 			}
 		})
 	}
@@ -241,8 +242,8 @@
 			t.Errorf("%s: %s", id, got)
 		}
 	}
-	if st.conflicts != 1 {
-		t.Errorf("%d transactions failed", st.conflicts)
+	if int(st.conflicts.Load()) != 1 {
+		t.Errorf("%d transactions failed", int(st.conflicts.Load()))
 	}
 }
 
@@ -349,9 +350,9 @@
 		{[]string{"job-1", "job-3"}, 4},
 		{[]string{"job-1"}, 1},
 	} {
-		st.requests = 0
-		if got := answer(r, awaiting(fmt.Sprint("job-2", i), c.awaits...)); got != "201 pending" || st.requests != c.requests {
-			t.Errorf("submission %d: %s after %d requests, want %d", i, got, st.requests, c.requests)
+		st.requests.Store(0)
+		if got := answer(r, awaiting(fmt.Sprint("job-2", i), c.awaits...)); got != "201 pending" || int(st.requests.Load()) != c.requests {
+			t.Errorf("submission %d: %s after %d requests, want %d", i, got, int(st.requests.Load()), c.requests)
 		}
 	}
 }
