--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,7 +7,7 @@
 for program in target/ivytrestle target/review/standin; do
   [ -x "$program" ] || { echo "$program is not built" >&2; exit 2; }
 done
-timeout -k 2 117 target/review/standin start-after-cancel review/3
+timeout -k 2 117 target/review/standin sick-machine review/3
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -1,7 +1,6 @@
 // Command standin plays everything around the controllers of a small deployment on loopback
-// addresses: the state service, the cloud, the workers, the users and the links between the
-// controllers. It starts the controllers as separate processes, plays one case of the review, and
-// checks the rule of that case from outside.
+// addresses: the state service, the cloud, the workers and the users. It starts the controllers as
+// separate processes, plays one case of the review, and checks the rule of that case from outside.
 package main
 
 import (
--- a/review/standin/state.go
+++ b/review/standin/state.go
@@ -10,8 +10,7 @@
 	"time"
 )
 
-// stateService is the small consistent store. All nodes share it; each reaches it by a link of its
-// own, which can be cut.
+// stateService is the small consistent store.
 type stateService struct {
 	mu      sync.Mutex
 	ring    uint64
