Exclusions of machines end, and do not count as capacity meanwhile

Cause: a task that failed on a machine, and a job that failed there twice, avoided it for the rest of the term. The autoscaler counted the machine's free CPUs for the job all the same.

"task failed" at debug is new.

A job that avoids machines with room, and can use no other one that has room or boots, has a demand of its own. The scheduler and the autoscaler decide by the same functions what a job can use (cluster/feasibility.go). A straggler's exclusion ends after 60 s.

--- a/internal/api/wire.go
+++ b/internal/api/wire.go
@@ -95,6 +95,10 @@
 // AllowsType reports whether the job's tasks may run on machines of the given type.
 func (s *JobSpec) AllowsType(typ string) bool { return s.Types == nil || slices.Contains(s.Types, typ) }
 
+// MaxTasksPerZone returns how many tasks of a job with Spread may be in the same zone: half of them,
+// rounded up.
+func (s *JobSpec) MaxTasksPerZone() int { return (s.Tasks + 1) / 2 }
+
 // submission is the decoded form of a JobSpec. Its fields are pointers to distinguish a missing
 // field from a zero value.
 type submission struct {
--- a/internal/autoscaler/autoscaler_test.go
+++ b/internal/autoscaler/autoscaler_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/bits-and-blooms/bitset"
+
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/cloud"
 	"example.org/ivytrestle/internal/cluster"
@@ -67,6 +69,7 @@
 		RunnableSince: start.Add(-time.Minute),
 		Objectives:    []time.Time{start.Add(100 * time.Second)}, // no time to run two tasks one after the other
 		Flight:        flight.New(tasks),
+		Done:          bitset.New(uint(tasks)),
 	}
 	j.UpdateFeasibility(start)
 	f.view.Jobs[id] = j
@@ -202,6 +205,49 @@
 	}
 }
 
+// Guards against a job that waits for ever next to free capacity that it must avoid, since its tasks failed
+// there, and against machines launched although the job can use another one.
+func TestMachinesThatAJobAvoidsDoNotCount(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(f *testFleet, j *cluster.Job)
+		want   []string
+	}{
+		{"only the avoided machine is free", func(*testFleet, *cluster.Job) {}, []string{"r-7-1 1 a spot=true"}},
+		{"constrained to a zone", func(_ *testFleet, j *cluster.Job) { j.Spec.Zone = "a" },
+			[]string{"r-7-1 1 a spot=true"}},
+		{"exclusion has ended", func(f *testFleet, _ *cluster.Job) { f.view.Now = start.Add(time.Minute) }, nil},
+		{"runnable for no more than two heartbeat intervals", func(_ *testFleet, j *cluster.Job) {
+			j.RunnableSince = start.Add(-4 * time.Second)
+		}, nil},
+		{"the avoided machine is full", func(f *testFleet, _ *cluster.Job) {
+			f.view.Machines["m"].UsedCPUs, f.team.LimitCPUs = 4, 2
+		}, nil},
+		{"another machine is free", func(f *testFleet, _ *cluster.Job) { f.addMachine("o", true) }, nil},
+		{"another machine is draining", func(f *testFleet, _ *cluster.Job) {
+			f.addMachine("o", true).Draining = true
+		}, nil},
+		{"a machine is booting", func(f *testFleet, _ *cluster.Job) {
+			f.view.Provisioning["o"] = &ProvisioningMachine{Type: "s", Zone: "a", CPUs: 4}
+		}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newTestFleet(t)
+			f.addMachine("m", true)
+			j := f.addJob("job", 2)
+			for task := range 2 {
+				j.Exclusions.RecordFailure(task, "m", start)
+			}
+			c.change(f, j)
+			checkStrings(t, "launches", formatLaunches(f.ScaleOut(f.view).Launches), c.want)
+			if o := f.view.Machines["o"]; o != nil && o.Draining {
+				t.Error("the other machine is still draining")
+			}
+			checkStrings(t, "while it is in flight", formatLaunches(f.ScaleOut(f.view).Launches), nil)
+		})
+	}
+}
+
 func TestPendingLaunchesCountForConstrainedJobs(t *testing.T) {
 	f := newTestFleet(t)
 	for i := range 3 {
--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -81,15 +81,13 @@
 	AttemptsByZone map[string]int
 	// RestartedTasks holds the tasks that were restarted as stragglers. Each is restarted only once.
 	RestartedTasks map[int]bool
-	// ExcludedMachine holds, by task, the machine that the task must avoid because it last failed or
-	// was a straggler there.
-	ExcludedMachine map[int]string
-	// FailuresByMachine counts the job's failed tasks by machine. A job whose tasks fail on several
-	// machines and complete on none starts no task before BackoffUntil, so that it does not use up
-	// the fleet. BackoffCount counts the backoffs since a task of the job last completed.
-	FailuresByMachine map[string]int
-	BackoffCount      int
-	BackoffUntil      time.Time
+	// Exclusions are the machines that tasks must avoid because tasks failed or were slow there.
+	Exclusions Exclusions
+	// A job whose tasks fail on several machines and complete on none starts no task before
+	// BackoffUntil, so that it does not use up the fleet. BackoffCount counts the backoffs since a
+	// task of the job last completed.
+	BackoffCount int
+	BackoffUntil time.Time
 
 	// WaitingSince is when the job was last added to its team's queue. SkippedSince is when a machine
 	// without the job's image first skipped the job after its last task start.
@@ -286,19 +284,5 @@
 	return elsewhere
 }
 
-// AllUntakenExcluded reports whether the machine is the excluded machine of every untaken task.
-func (j *Job) AllUntakenExcluded(m *Machine) bool {
-	if len(j.ExcludedMachine) == 0 {
-		return false
-	}
-	n := 0
-	for task, name := range j.ExcludedMachine {
-		if name == m.Name && !j.Done.Test(uint(task)) && j.ActiveAttempts[task] == nil {
-			n++
-		}
-	}
-	return n >= j.Flight.Untaken()
-}
-
 // DeletesRecord reports whether this leader deletes, or is about to delete, the job's active record.
 func (j *Job) DeletesRecord() bool { return j.Finishing || j.CancelPending || j.HandoverPending }
--- a/internal/controller/assignment.go
+++ b/internal/controller/assignment.go
@@ -21,7 +21,7 @@
 			break
 		}
 		j.Flight.Join(m.Name)
-		task, ok := j.Flight.PullExcept(m.Name, func(t int) bool { return j.ExcludedMachine[t] == m.Name })
+		task, ok := j.Flight.PullExcept(m.Name, func(t int) bool { return j.Exclusions.TaskExcluded(t, m.Name, now) })
 		if !ok {
 			break
 		}
@@ -150,10 +150,6 @@
 	return nil
 }
 
-// maxFailuresOnMachine is the number of failed tasks of a job on a machine after which the machine
-// gets no further tasks of that job.
-const maxFailuresOnMachine = 2
-
 // isEligible reports whether the next task of a job may start on a machine.
 func (lt *leaderTerm) isEligible(j *cluster.Job, m *cluster.Machine, now time.Time) bool {
 	s := &j.Spec
@@ -165,23 +161,12 @@
 	case lt.unfenced > 0 && j.ModRevision <= lt.term.ModRevision:
 		// An unfenced machine may still run any task of a job accepted before this term.
 		return false
-	case !m.Fits(s) || !s.AllowsType(m.Type) || (s.Zone != "" && s.Zone != m.Zone) || (m.Spot && !s.Spot):
+	case !j.CanUse(m, now) || !j.MayStartMoreOn(m, now):
 		return false
 	case !j.Team.WithinLimit(s.CPUs, s.GPUs, lt.unfencedCPUs+lt.unattributedCPUs, lt.unfencedGPUs):
 		return false
-	case j.FailuresByMachine[m.Name] >= maxFailuresOnMachine || j.AllUntakenExcluded(m):
-		return false
-	case !m.CanFetch(s.Image, lt.maxFetches) && !lt.fetchesWithinTwoHeartbeats(j, m):
-		return false
-	}
-	if s.OneZone {
-		for zone, attempts := range j.AttemptsByZone {
-			if attempts > 0 && zone != m.Zone {
-				return false
-			}
-		}
 	}
-	return !s.Spread || j.AttemptsByZone[m.Zone] < (s.Tasks+1)/2
+	return m.CanFetch(s.Image, lt.maxFetches) || lt.fetchesWithinTwoHeartbeats(j, m)
 }
 
 // minCostDifference is the difference in placement cost, in seconds, from which on the cheaper of
--- a/internal/controller/attempts.go
+++ b/internal/controller/attempts.go
@@ -77,6 +77,7 @@
 		}
 		lt.completeTask(j, a.Task, now)
 		j.BackoffCount = 0
+		j.Exclusions.RecordSuccess(m.Name)
 		m.CordonDuration = 0
 		clear(m.TaskErrorsByJob)
 		lt.addImage(m, &j.Spec, now)
@@ -147,9 +148,9 @@
 // is itself at fault, and is backed off.
 func (lt *leaderTerm) handleTaskFailure(a *cluster.Attempt, now time.Time) {
 	j, m := a.Job, a.Machine
-	j.FailuresByMachine[m.Name]++
-	j.ExcludedMachine[a.Task] = m.Name
-	if j.DoneCount == 0 && len(j.FailuresByMachine) >= minFailedMachines {
+	excludedUntil := j.Exclusions.RecordFailure(a.Task, m.Name, now)
+	lt.c.Log.Debug("task failed", "machine", m.Name, "task", a.Key.Ref, "excluded", excludedUntil.Sub(now))
+	if j.DoneCount == 0 && len(j.Exclusions.FailedMachines()) >= minFailedMachines {
 		lt.backOffJob(j, now)
 		return
 	}
@@ -171,8 +172,9 @@
 	if j.BackoffCount > 1 {
 		return
 	}
-	lt.c.Log.Info("job fails on every machine", "job", j.Spec.ID, "machines", len(j.FailuresByMachine))
-	for name := range j.FailuresByMachine {
+	failedMachines := j.Exclusions.FailedMachines()
+	lt.c.Log.Info("job fails on every machine", "job", j.Spec.ID, "machines", len(failedMachines))
+	for _, name := range failedMachines {
 		if m := lt.machines[name]; m != nil {
 			delete(m.TaskErrorsByJob, j.Spec.ID)
 		}
--- a/internal/controller/capacity.go
+++ b/internal/controller/capacity.go
@@ -17,7 +17,7 @@
 	}
 	var candidates []candidate
 	for _, m := range lt.machines {
-		if m.IsSchedulable(now) && m.Fits(&j.Spec) && (!m.Spot || j.Spec.Spot) {
+		if m.IsSchedulable(now) && j.CanUse(m, now) {
 			candidates = append(candidates, candidate{lt.placementCost(j, m), m.Slots(&j.Spec)})
 		}
 	}
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -75,20 +75,18 @@
 func newJob(spec api.JobSpec, team *queue.Team[*cluster.Job]) *cluster.Job {
 	tasks := uint(spec.Tasks)
 	return &cluster.Job{
-		Spec:              spec,
-		Team:              team,
-		PriorityRank:      api.PriorityRank(spec.Priority),
-		WaitingSince:      time.Now(),
-		Flight:            flight.New(spec.Tasks),
-		ActiveAttempts:    map[int]*cluster.Attempt{},
-		Done:              bitset.New(tasks),
-		Recorded:          bitset.New(tasks),
-		CompletionChunks:  map[int]bool{},
-		Runs:              cluster.JobRuns{ByMachine: map[string]*cluster.RunStats{}},
-		AttemptsByZone:    map[string]int{},
-		RestartedTasks:    map[int]bool{},
-		ExcludedMachine:   map[int]string{},
-		FailuresByMachine: map[string]int{},
+		Spec:             spec,
+		Team:             team,
+		PriorityRank:     api.PriorityRank(spec.Priority),
+		WaitingSince:     time.Now(),
+		Flight:           flight.New(spec.Tasks),
+		ActiveAttempts:   map[int]*cluster.Attempt{},
+		Done:             bitset.New(tasks),
+		Recorded:         bitset.New(tasks),
+		CompletionChunks: map[int]bool{},
+		Runs:             cluster.JobRuns{ByMachine: map[string]*cluster.RunStats{}},
+		AttemptsByZone:   map[string]int{},
+		RestartedTasks:   map[int]bool{},
 	}
 }
 
--- a/internal/controller/stragglers.go
+++ b/internal/controller/stragglers.go
@@ -90,7 +90,7 @@
 				continue
 			}
 			j.RestartedTasks[a.Task] = true
-			j.ExcludedMachine[a.Task] = a.Machine.Name
+			j.Exclusions.ExcludeStraggler(a.Task, a.Machine.Name, now)
 			lt.c.Log.Debug("straggler restarted", "task", a.Key.Ref, "machine", a.Machine.Name)
 			lt.requestStop(a, j.Spec.SaveDuration()*2, now)
 		}
