A job in backoff counts with one task in the demand

Cause: a job in backoff had no demand at all. Its idle machines were terminated and none was launched for it, so it had no machine on which to show that it no longer fails. In addition each failure of tasks that were started together counted as a further backoff, so that the first burst led to the longest one.

Change: it counts with one task, so that at most one machine is kept or launched for it, however many tasks it has; the machines that it avoids do not make the autoscaler launch others. Failures during a backoff do not lengthen it, and a completed task ends it.

Tests: TestJobInBackoffGetsCapacity failed before in all three cases ("started within 90 s: got false"), with exclusions that end as well as without. TestJobThatFailsEverywhereLaunchesFewMachines now runs machines that boot and are terminated, for a job of 4 and of 40 tasks, and bounds launches and starts in ten minutes. The case "job in backoff has no demand" of TestScaleOutLaunchesWhatIsMissing was wrong: it asked for the fault. Two cases replace it: exactly one machine for a job of 20 tasks, and none beside one.

--- a/internal/autoscaler/constrained.go
+++ b/internal/autoscaler/constrained.go
@@ -51,10 +51,10 @@
 	for _, team := range view.Teams {
 		available := team.LimitCPUs - team.UsedCPUs
 		for _, j := range team.Items() {
-			if j.Finishing || j.BackoffCount > 0 || view.Now.Sub(j.RunnableSince) <= minWait {
+			if view.Now.Sub(j.RunnableSince) <= minWait {
 				continue
 			}
-			if cpus := min(float64(j.Flight.Untaken())*j.Spec.CPUs, available); demands.add(j, cpus) {
+			if cpus := min(float64(neededTasks(j))*j.Spec.CPUs, available); demands.add(j, cpus) {
 				available -= cpus
 			}
 		}
@@ -96,8 +96,12 @@
 }
 
 // avoidedSlots returns for how many tasks of a job there is free capacity on the machines that it avoids
-// because its tasks failed there.
+// because its tasks failed there. It is 0 for a job in backoff: it fails on every machine, so another one
+// does not help.
 func (d *constrainedDemands) avoidedSlots(j *cluster.Job) int {
+	if j.BackoffCount > 0 {
+		return 0
+	}
 	slots := 0
 	for _, name := range j.AvoidedMachines(d.view.Now) {
 		if m := d.view.Machines[name]; m != nil && m.Phase() == cluster.Active && j.AllowsPool(m.Type, m.Zone, m.Spot) {
--- a/internal/autoscaler/demand.go
+++ b/internal/autoscaler/demand.go
@@ -2,12 +2,14 @@
 
 import (
 	"time"
+
+	"example.org/ivytrestle/internal/cluster"
 )
 
 // Demand returns the CPUs that the teams need now to meet their objectives. Each team's demand is capped
 // at its limit. Demand within a team's guarantee counts in full, because those tasks should start at
 // once. Beyond the guarantee, a job whose tasks can run one after the other and still meet its objective
-// counts only with the tasks that must run at the same time.
+// counts only with the tasks that must run at the same time. A job in backoff counts with one task.
 func (a *Autoscaler) Demand(view *View) float64 {
 	bootedAt := view.Now.Add(LongestBoot(view.Types))
 	sum := 0.0
@@ -15,10 +17,7 @@
 		// The CPUs that the team needs to run all tasks at once, and to finish them in time.
 		atOnce, inTime := t.UsedCPUs, t.UsedCPUs
 		for _, j := range t.Items() {
-			if j.Finishing || j.BackoffCount > 0 {
-				continue
-			}
-			cpus := float64(j.Flight.Untaken()) * j.Spec.CPUs
+			cpus := float64(neededTasks(j)) * j.Spec.CPUs
 			atOnce += cpus
 			inTime += cpus / j.RunsPerCPU(bootedAt)
 		}
@@ -28,6 +27,19 @@
 	return sum
 }
 
+// neededTasks returns for how many tasks of a queued job capacity is needed now. A job in backoff needs
+// capacity for one task, to find out whether it still fails: with none it would never run, and with more it
+// would launch machines for all its tasks while they fail.
+func neededTasks(j *cluster.Job) int {
+	switch {
+	case j.Finishing:
+		return 0
+	case j.BackoffCount > 0:
+		return min(j.Flight.Untaken(), 1)
+	}
+	return j.Flight.Untaken()
+}
+
 // demandPeak tracks the maximum demand in a sliding window. Jobs arrive in bursts that are shorter than
 // the boot time of a machine, so the fleet is kept large enough for another burst of the same size.
 type demandPeak struct {
--- a/internal/controller/attempts.go
+++ b/internal/controller/attempts.go
@@ -76,7 +76,7 @@
 			lt.recordRunTime(a, now.Sub(a.RunningAt), now)
 		}
 		lt.completeTask(j, a.Task, now)
-		j.BackoffCount = 0
+		j.BackoffCount, j.BackoffUntil = 0, time.Time{}
 		j.Exclusions.RecordSuccess(m.Name)
 		m.CordonDuration = 0
 		clear(m.TaskErrorsByJob)
@@ -164,8 +164,11 @@
 }
 
 // backOffJob keeps a job that fails on every machine from starting tasks for a while, and removes its
-// failures from the machines' counts.
+// failures from the machines' counts. During a backoff it does nothing: the failed task started before it.
 func (lt *leaderTerm) backOffJob(j *cluster.Job, now time.Time) {
+	if now.Before(j.BackoffUntil) {
+		return
+	}
 	j.BackoffCount++
 	backoff := min(baseBackoff<<min(j.BackoffCount, maxBackoffDoublings), maxBackoff)
 	j.BackoffUntil = now.Add(backoff)
