Autoscaler: free CPUs without the memory, GPUs or zone of a job do not count

It counted CPUs alone, for machines in use, booting and being launched. The zones that SamePlace and Scatter close to a job were not known to it either.

Change: a job is covered separately if a machine type exists on which its tasks don't fit, or fill the memory or GPUs before the CPUs, or if zones are closed to it. Such demand counts in tasks, of machines in use, booting and being launched alike; offers are compared by the price of a task. CPUs that are free, but whose memory or GPUs other tasks have taken, are left out of the total for the job that has waited longest. A limit of GPUs bounds the demand as one of CPUs does.

--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -152,18 +152,19 @@
 		return commands
 	}
 	offers := a.offers(view.Types, view.Now)
-	commands.Launches = a.launch(target-total-booting, offers)
+	commands.Launches = a.launch(target-total+a.strandedCPUs(view)-booting, offers, offerCPUs)
 	commands.Launches = append(commands.Launches, a.scaleOutConstrained(view, offers)...)
 	return commands
 }
 
-// launch returns the requests to launch missingCPUs from the offers, and counts them as in flight.
-func (a *Autoscaler) launch(missingCPUs float64, offers []Offer) []Launch {
+// launch returns the requests to launch the missing capacity from the offers, and counts them as in flight.
+// capacity returns the capacity of a machine of an offer, in the same unit.
+func (a *Autoscaler) launch(missing float64, offers []Offer, capacity func(Offer) float64) []Launch {
 	maxRequests := maxLaunchesInFlight - len(a.pendingLaunches)
-	if missingCPUs <= 0 || maxRequests <= 0 {
+	if missing <= 0 || maxRequests <= 0 {
 		return nil
 	}
-	requests := planLaunches(missingCPUs, offers, cloud.MaxLaunch, maxRequests)
+	requests := planLaunches(missing, offers, capacity, cloud.MaxLaunch, maxRequests)
 	launches := make([]Launch, 0, len(requests))
 	for _, request := range requests {
 		a.launchCount++
--- a/internal/autoscaler/constrained.go
+++ b/internal/autoscaler/constrained.go
@@ -1,18 +1,22 @@
 package autoscaler
 
 import (
+	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
 
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/cluster"
+	"example.org/ivytrestle/internal/queue"
 )
 
 // The capacity that covers the total demand may consist of machines that some jobs cannot use: spot
-// machines, machines of another zone or type, or machines on which their tasks have failed. The demand of
-// these jobs is therefore also covered separately. Without this, when only spot machines were left in a
-// fleet, a job that must not use them waited forever next to free capacity.
+// machines, machines of another zone or type, machines without enough memory or GPUs, or machines on which
+// their tasks have failed. The demand of these jobs is therefore also covered separately. Without this,
+// when only spot machines were left in a fleet, a job that must not use them waited forever next to free
+// capacity.
 
 // constrainedDemand is the demand of jobs that can use the same machines.
 type constrainedDemand struct {
@@ -30,41 +34,42 @@
 	return !avoided && d.job.AllowsPool(m.Type, m.Zone, m.Spot)
 }
 
-// isConstrained reports whether there are machines that a job must not use because of their type, zone
-// or price model.
-func isConstrained(s *api.JobSpec) bool { return !s.Spot || s.Zone != "" || s.Types != nil }
-
 // constrainedDemands is the list of the demands of constrained jobs while it is being built.
 type constrainedDemands struct {
 	view *View
 	// shared holds the demands of jobs with the same constraints, by these constraints.
 	shared map[string]*constrainedDemand
 	list   []*constrainedDemand
+	// cpuBound holds the results of isCPUBound.
+	cpuBound map[taskSize]bool
 }
 
+// taskSize is what a task takes of its machine.
+type taskSize struct{ cpus, gpus, memoryGB float64 }
+
 // constrainedDemands returns the demand of constrained jobs, by what they can use. It includes pending
 // jobs that have been runnable for two heartbeat intervals, and jobs whose remaining dependencies have
 // all started, since a machine takes time to boot.
 func (a *Autoscaler) constrainedDemands(view *View) []*constrainedDemand {
-	demands := &constrainedDemands{view: view, shared: map[string]*constrainedDemand{}}
-	minWait := 2 * a.workers.HeartbeatInterval()
+	demands := newConstrainedDemands(view)
 	for _, team := range view.Teams {
-		available := team.LimitCPUs - team.UsedCPUs
+		free := newTeamCapacity(team)
 		for _, j := range team.Items() {
-			if view.Now.Sub(j.RunnableSince) <= minWait {
+			if !a.hasWaited(j, view.Now) {
 				continue
 			}
-			if cpus := min(float64(neededTasks(j))*j.Spec.CPUs, available); demands.add(j, cpus) {
-				available -= cpus
+			if tasks := free.tasks(&j.Spec, neededTasks(j)); demands.add(j, tasks) {
+				free.take(&j.Spec, tasks)
 			}
 		}
 	}
 	for _, j := range view.Jobs {
-		if len(j.DependsOn) == 0 || j.CancelPending || !isConstrained(&j.Spec) {
+		if len(j.DependsOn) == 0 || j.CancelPending || !demands.isConstrained(j) {
 			continue
 		}
 		if dependenciesStarted(j, view.Jobs) {
-			demands.add(j, min(float64(j.Spec.Tasks)*j.Spec.CPUs, j.Team.LimitCPUs))
+			unused := teamCapacity{cpus: j.Team.LimitCPUs, gpus: j.Team.LimitGPUs}
+			demands.add(j, unused.tasks(&j.Spec, j.Spec.Tasks))
 		}
 	}
 	slices.SortFunc(demands.list, func(x, y *constrainedDemand) int {
@@ -73,25 +78,111 @@
 	return demands.list
 }
 
-// add adds the demand of a job, unless the job can use all machines. It reports whether it was added.
-func (d *constrainedDemands) add(j *cluster.Job, cpus float64) bool {
-	if cpus <= 0 {
+func newConstrainedDemands(view *View) *constrainedDemands {
+	return &constrainedDemands{
+		view:     view,
+		shared:   map[string]*constrainedDemand{},
+		cpuBound: map[taskSize]bool{},
+	}
+}
+
+// hasWaited reports whether a queued job has been runnable for two heartbeat intervals, in which machines
+// with free capacity would have taken its tasks.
+func (a *Autoscaler) hasWaited(j *cluster.Job, now time.Time) bool {
+	return now.Sub(j.RunnableSince) > 2*a.workers.HeartbeatInterval()
+}
+
+// teamCapacity is the part of a team's limit that is still free.
+type teamCapacity struct{ cpus, gpus float64 }
+
+func newTeamCapacity(team *queue.Team[*cluster.Job]) teamCapacity {
+	return teamCapacity{cpus: team.LimitCPUs - team.UsedCPUs, gpus: team.LimitGPUs - team.UsedGPUs}
+}
+
+// tasks returns how many of a number of tasks of a job are within the limit.
+func (c *teamCapacity) tasks(s *api.JobSpec, tasks int) float64 {
+	within := float64(tasks)
+	if s.CPUs > 0 {
+		within = min(within, math.Floor(c.cpus/s.CPUs+cluster.Epsilon))
+	}
+	if s.GPUs > 0 {
+		within = min(within, math.Floor(c.gpus/s.GPUs+cluster.Epsilon))
+	}
+	return max(0, within)
+}
+
+// take subtracts tasks of a job.
+func (c *teamCapacity) take(s *api.JobSpec, tasks float64) {
+	c.cpus -= tasks * s.CPUs
+	c.gpus -= tasks * s.GPUs
+}
+
+// isConstrained reports whether there may be machines with free CPUs that a job cannot use because of
+// their type, zone or price model.
+func (d *constrainedDemands) isConstrained(j *cluster.Job) bool {
+	s := &j.Spec
+	return !s.Spot || s.Zone != "" || s.Types != nil || len(d.closedZones(j)) > 0 || !d.isCPUBound(s)
+}
+
+// closedZones returns the zones in which no further task of a job may start because of where its other
+// tasks are, in ascending order.
+func (d *constrainedDemands) closedZones(j *cluster.Job) []string {
+	if !j.Spec.OneZone && !j.Spec.Spread {
+		return nil
+	}
+	var closed []string
+	for _, machineType := range d.view.Types {
+		for _, zone := range machineType.Zones {
+			if !j.AllowsZone(zone) && !slices.Contains(closed, zone) {
+				closed = append(closed, zone)
+			}
+		}
+	}
+	slices.Sort(closed)
+	return closed
+}
+
+// isCPUBound reports whether an empty machine of any type has capacity for tasks of a job until its CPUs
+// are in use, so that the number of free CPUs shows how many tasks fit.
+func (d *constrainedDemands) isCPUBound(s *api.JobSpec) bool {
+	size := taskSize{cpus: s.CPUs, gpus: s.GPUs, memoryGB: s.MemoryGB}
+	cpuBound, known := d.cpuBound[size]
+	if known {
+		return cpuBound
+	}
+	cpuBound = s.CPUs > 0
+	for _, machineType := range d.view.Types {
+		slots := cluster.TypeSlots(machineType, s)
+		if slots == 0 || float64(slots) < cpuSlots(machineType.CPUs, s) {
+			cpuBound = false
+		}
+	}
+	d.cpuBound[size] = cpuBound
+	return cpuBound
+}
+
+// cpuSlots returns how many tasks of a job fit into a number of CPUs.
+func cpuSlots(cpus float64, s *api.JobSpec) float64 { return math.Floor(cpus/s.CPUs + cluster.Epsilon) }
+
+// add adds tasks of a job to the demands, unless the job can use all machines. It reports whether they were
+// added.
+func (d *constrainedDemands) add(j *cluster.Job, tasks float64) bool {
+	if tasks <= 0 {
 		return false
 	}
-	tasks := cpus / j.Spec.CPUs
-	avoidedSlots := d.avoidedSlots(j)
+	constrained := d.isConstrained(j)
+	avoided := d.avoidedSlots(j)
 	switch {
-	case avoidedSlots > 0 && isConstrained(&j.Spec):
-		d.list = append(d.list, &constrainedDemand{job: j, tasks: tasks, single: true})
-	case avoidedSlots > 0:
-		// The capacity that the job avoids has been counted for the total demand.
-		tasks = min(tasks, float64(avoidedSlots))
-		d.list = append(d.list, &constrainedDemand{job: j, tasks: tasks, single: true})
-	case isConstrained(&j.Spec):
-		d.addShared(j, cpus)
-	default:
+	case avoided == 0 && !constrained:
 		return false
+	case avoided == 0:
+		d.addShared(j, tasks)
+		return true
+	case !constrained:
+		// Only the capacity that the job avoids has been counted wrongly for the total demand.
+		tasks = min(tasks, float64(avoided))
 	}
+	d.list = append(d.list, &constrainedDemand{job: j, tasks: tasks, single: true})
 	return true
 }
 
@@ -111,19 +202,30 @@
 	return slots
 }
 
-// addShared adds a job's CPUs to the demand of the jobs with the same constraints.
-func (d *constrainedDemands) addShared(j *cluster.Job, cpus float64) {
-	key := j.Spec.Zone + "|" + strings.Join(j.Spec.Types, ",")
-	if j.Spec.Spot {
-		key += "|spot"
-	}
+// addShared adds tasks of a job to the demand of the jobs with the same constraints.
+func (d *constrainedDemands) addShared(j *cluster.Job, tasks float64) {
+	key := d.constraints(j)
 	demand := d.shared[key]
 	if demand == nil {
 		demand = &constrainedDemand{job: j}
 		d.shared[key] = demand
 		d.list = append(d.list, demand)
 	}
-	demand.tasks += cpus / demand.job.Spec.CPUs
+	if d.isCPUBound(&j.Spec) {
+		tasks *= j.Spec.CPUs / demand.job.Spec.CPUs
+	}
+	demand.tasks += tasks
+}
+
+// constraints returns a text that is the same for jobs that can use the same machines: those with the same
+// constraints whose tasks are of the same size, or of any size if only their CPUs matter.
+func (d *constrainedDemands) constraints(j *cluster.Job) string {
+	s := &j.Spec
+	text := fmt.Sprintf("%s|%s|%t|%s", s.Zone, strings.Join(s.Types, ","), s.Spot, strings.Join(d.closedZones(j), ","))
+	if !d.isCPUBound(s) {
+		text += fmt.Sprintf("|%g|%g|%g", s.CPUs, s.GPUs, s.MemoryGB)
+	}
+	return text
 }
 
 // dependenciesStarted reports whether all unfinished dependencies of a job have started.
@@ -135,56 +237,3 @@
 	}
 	return true
 }
-
-// scaleOutConstrained covers the demand of constrained jobs that the fleet lacks capacity for. It first
-// takes draining machines back into use, and returns launch requests for the rest.
-func (a *Autoscaler) scaleOutConstrained(view *View, offers []Offer) []Launch {
-	demands := a.constrainedDemands(view)
-	launches := make([]Launch, 0, len(demands))
-	for _, demand := range demands {
-		missing, draining := a.missingSlots(view, demand)
-		for _, m := range draining {
-			if missing <= 0 {
-				break
-			}
-			m.Draining = false
-			missing -= float64(m.Slots(&demand.job.Spec))
-		}
-		usable := slices.DeleteFunc(slices.Clone(offers), func(offer Offer) bool {
-			return !demand.job.AllowsPool(offer.Type, offer.Zone, offer.Spot)
-		})
-		launches = append(launches, a.launch(missing*demand.job.Spec.CPUs, usable)...)
-	}
-	return launches
-}
-
-// missingSlots returns how many tasks of a demand fit neither in the free capacity of the machines in use
-// nor on the machines that are booting or being launched. It also returns the draining machines that could
-// serve the demand, sorted by name.
-func (a *Autoscaler) missingSlots(
-	view *View, demand *constrainedDemand,
-) (missing float64, draining []*cluster.Machine) {
-	job := demand.job
-	missing = demand.tasks
-	for _, m := range view.Machines {
-		switch {
-		case m.Phase() != cluster.Active || m.CPUs == 0 || !demand.canUse(m, view.Now):
-		case m.Draining:
-			draining = append(draining, m)
-		default:
-			missing -= float64(m.Slots(&job.Spec))
-		}
-	}
-	for _, booting := range view.Provisioning {
-		if !booting.Terminating && job.AllowsPool(booting.Type, booting.Zone, booting.Spot) {
-			missing -= booting.CPUs / job.Spec.CPUs
-		}
-	}
-	for _, request := range a.pendingLaunches {
-		if job.AllowsPool(request.Type, request.Zone, request.Spot) {
-			missing -= float64(request.Count) * request.CPUs / job.Spec.CPUs
-		}
-	}
-	slices.SortFunc(draining, func(x, y *cluster.Machine) int { return strings.Compare(x.Name, y.Name) })
-	return missing, draining
-}
--- a/internal/autoscaler/plan.go
+++ b/internal/autoscaler/plan.go
@@ -24,26 +24,32 @@
 	Count int
 }
 
-// planLaunches covers missing CPUs with the offers of the lowest price per CPU. It plans at most
-// maxRequests requests of at most maxCount machines each, one for each offer. How many machines the
-// cloud can provide from an offer is unknown, so a request to a more expensive offer is added only if
-// the remaining CPUs fill a whole request; a smaller remainder waits for the response to the first
-// requests. The caller excludes offers that are unavailable.
-func planLaunches(missingCPUs float64, offers []Offer, maxCount, maxRequests int) []plannedLaunch {
+// offerCPUs returns the CPUs of a machine of an offer.
+func offerCPUs(offer Offer) float64 { return offer.CPUs }
+
+// planLaunches covers missing capacity with the offers of the lowest price for it. capacity returns that of
+// a machine of an offer, in the unit of missing; it is positive. It plans at most maxRequests requests of at
+// most maxCount machines each, one for each offer. How many machines the cloud can provide from an offer is
+// unknown, so a request to a more expensive offer is added only if the remaining capacity fills a whole
+// request; a smaller remainder waits for the response to the first requests. The caller excludes offers that
+// are unavailable.
+func planLaunches(
+	missing float64, offers []Offer, capacity func(Offer) float64, maxCount, maxRequests int,
+) []plannedLaunch {
 	offers = slices.Clone(offers)
 	slices.SortFunc(offers, func(a, b Offer) int {
-		return cmp.Or(cmp.Compare(a.Price/a.CPUs, b.Price/b.CPUs), cmp.Compare(a.CPUs, b.CPUs),
+		return cmp.Or(cmp.Compare(a.Price/capacity(a), b.Price/capacity(b)), cmp.Compare(a.CPUs, b.CPUs),
 			cmp.Compare(a.Zone, b.Zone))
 	})
 	var requests []plannedLaunch
 	for _, offer := range offers {
-		small := missingCPUs < float64(maxCount)*offer.CPUs
-		if len(requests) == maxRequests || missingCPUs <= 0 || (len(requests) > 0 && small) {
+		small := missing < float64(maxCount)*capacity(offer)
+		if len(requests) == maxRequests || missing <= 0 || (len(requests) > 0 && small) {
 			break
 		}
-		count := min(int(math.Ceil(missingCPUs/offer.CPUs)), maxCount)
+		count := min(int(math.Ceil(missing/capacity(offer))), maxCount)
 		requests = append(requests, plannedLaunch{Offer: offer, Count: count})
-		missingCPUs -= float64(count) * offer.CPUs
+		missing -= float64(count) * capacity(offer)
 	}
 	return requests
 }
--- a/internal/autoscaler/plan_test.go
+++ b/internal/autoscaler/plan_test.go
@@ -28,7 +28,7 @@
 			for i, count := range c.want {
 				want = append(want, plannedLaunch{Offer: byPrice[i], Count: count})
 			}
-			got := planLaunches(c.missingCPUs, []Offer{expensive, large, spot}, 50, c.maxRequests)
+			got := planLaunches(c.missingCPUs, []Offer{expensive, large, spot}, offerCPUs, 50, c.maxRequests)
 			if !slices.Equal(got, want) {
 				t.Errorf("got %v, want %v", got, want)
 			}
--- a/internal/controller/provisioning_test.go
+++ b/internal/controller/provisioning_test.go
@@ -166,3 +166,30 @@
 		})
 	}
 }
+
+// Guards against a job that is never started because its tasks need more memory than the machines in use
+// have, although these have enough free CPUs.
+func TestJobThatNeedsALargeMachineGetsOne(t *testing.T) {
+	simulateScaling(t, func(w *simulatedCluster) {
+		w.cloud.types = append(w.cloud.types, api.MachineType{
+			Name: "large", CPUs: 8, MemoryGB: 128, Price: 3, SpotPrice: 1, BootS: 20, Zones: []string{"a", "b"},
+		})
+		n := w.start("n0")
+		small := w.workers("i-1", "i-2")
+		heartbeatAll(small, n, 4)
+		s := spec("job-1", 2)
+		s.MemoryGB = 100
+		w.submit(n, s)
+		heartbeatAll(small, n, 5)
+		names := w.awaitLaunches(2, time.Second)
+		for _, request := range w.cloud.launches {
+			w.checkEqual("type launched", request.Type, "large")
+		}
+		for _, name := range names {
+			large := w.worker(name, "a", true)
+			large.status.Type = "large"
+			large.heartbeatFor(n, 4)
+			w.checkEqual("running", len(large.running()), 1)
+		}
+	})
+}
