A machine whose overdue first heartbeat arrives loses no tasks

Cause: the termination stayed queued when the machine was added, and the machine counted as active, also while a request for its termination was in flight or had failed and may still be carried out. A late response to a launch request also counted a machine as booting again that was to be terminated.

Change: the first heartbeat takes the machine out of the queue. If a request for its termination has been sent, it may be applied at any time, so the machine gets no tasks and is terminated. The queue is a type of its own, terminations.

--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"example.org/ivytrestle/internal/api"
@@ -30,11 +29,9 @@
 	// unavailableUntil is the time until which nothing is requested from a capacity pool, because
 	// the cloud launched fewer machines of it than requested.
 	unavailableUntil map[CapacityPool]time.Time
-	// pendingTerminations are the machines whose termination is still to be requested.
-	pendingTerminations []string
-	terminationInFlight bool
-	nextListAt          time.Time
-	listInFlight        bool
+	terminations     terminations
+	nextListAt       time.Time
+	listInFlight     bool
 	// vanished holds the machines that were terminated before their first heartbeat, with the time at
 	// which this became known, while the list may still contain them.
 	vanished map[string]time.Time
@@ -117,6 +114,7 @@
 		pendingLaunches:  map[string]plannedLaunch{},
 		unavailableUntil: map[CapacityPool]time.Time{},
 		vanished:         map[string]time.Time{},
+		terminations:     terminations{mayBeApplied: map[string]bool{}},
 	}
 }
 
@@ -196,34 +194,6 @@
 	}
 }
 
-// ScaleIn queues a machine for termination. It returns the machines of the termination request to send
-// now, none while another request is in flight.
-func (a *Autoscaler) ScaleIn(m *cluster.Machine) []string {
-	m.Advance(cluster.Terminating)
-	a.pendingTerminations = append(a.pendingTerminations, m.Name)
-	return a.NextTermination()
-}
-
-// NextTermination returns the machines of the next termination request, none while another request is
-// in flight or if no machine is queued. The caller passes the outcome to TerminationEnded.
-func (a *Autoscaler) NextTermination() []string {
-	if a.terminationInFlight || len(a.pendingTerminations) == 0 {
-		return nil
-	}
-	n := min(len(a.pendingTerminations), cloud.MaxTerminate)
-	names := slices.Clone(a.pendingTerminations[:n])
-	a.pendingTerminations = a.pendingTerminations[n:]
-	a.terminationInFlight = true
-	return names
-}
-
-// TerminationEnded applies the outcome of a termination request. The machines for which it failed are
-// queued again, for a request that a later Tick, ScaleIn or NextTermination returns.
-func (a *Autoscaler) TerminationEnded(failed []string) {
-	a.terminationInFlight = false
-	a.pendingTerminations = append(a.pendingTerminations, failed...)
-}
-
 // startList reports whether to read the cloud's list of machines now, and if so, marks the read as in
 // flight. The list is read at listInterval, to find machines that are unknown, that never sent a
 // heartbeat, or that have stopped.
--- a/internal/autoscaler/provisioning.go
+++ b/internal/autoscaler/provisioning.go
@@ -64,6 +64,6 @@
 		return false
 	}
 	machine.Terminating = true
-	a.pendingTerminations = append(a.pendingTerminations, listed.Name)
+	a.terminations.queued = append(a.terminations.queued, listed.Name)
 	return true
 }
--- a/internal/controller/cloudcalls.go
+++ b/internal/controller/cloudcalls.go
@@ -112,7 +112,7 @@
 			"requested", request.Count, "count", len(m.machines))
 	}
 	for _, name := range m.machines {
-		if lt.machines[name] == nil && !lt.terminated.Contains(name) {
+		if lt.machines[name] == nil && lt.provisioning[name] == nil && !lt.terminated.Contains(name) {
 			lt.provisioning[name] = m.launch.ProvisioningMachine(now)
 		}
 	}
@@ -200,6 +200,10 @@
 	}
 }
 
+// reasonOverdue is the evacuation reason of a machine whose first heartbeat arrived only after its termination
+// had been requested because the heartbeat was overdue.
+const reasonOverdue = "overdue"
+
 // applyListedMachine applies one machine of the cloud's list, which may be out of date. It terminates
 // a machine that has failed, or whose first heartbeat is overdue.
 func (lt *leaderTerm) applyListedMachine(listed *cloud.Machine, now time.Time) {
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -64,6 +64,10 @@
 		// The strings of the heartbeat share the memory of the request body.
 		m = lt.addMachine(strings.Clone(hb.Machine), strings.Clone(hb.Type), strings.Clone(hb.Zone), hb.Spot, now)
 		lt.c.Log.Info("first heartbeat of machine", "machine", m.Name, "type", m.Type, "zone", m.Zone, "spot", m.Spot)
+		if !lt.autoscaler.CancelTermination(m.Name) {
+			m.Advance(cluster.Terminating)
+			m.EvacuationReason = reasonOverdue
+		}
 	}
 	if hb.AgentEpoch < m.AgentEpoch || (hb.AgentEpoch == m.AgentEpoch && hb.Seq <= m.HeartbeatSeq) {
 		return response, nil // not newer than the last one applied
--- a/internal/controller/provisioning_test.go
+++ b/internal/controller/provisioning_test.go
@@ -193,3 +193,47 @@
 		}
 	})
 }
+
+// Guards against a machine that gets tasks and loses them when it is terminated, because its first heartbeat
+// was overdue and arrived only after the leader had decided on its termination.
+func TestOverdueMachineThatReportsLosesNoTasks(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		rejectTerminate bool
+		wantRunning     int
+		wantTerminated  bool
+	}{
+		{"termination not requested", false, 2, false},
+		{"termination requested", true, 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			simulateScaling(t, func(w *simulatedCluster) {
+				n := w.start("n0")
+				w.submit(n, zonalJob("job-1", "a"))
+				agent := w.worker(w.awaitLaunches(1, 10*time.Second)[0], "a", true)
+				w.cloud.mu.Lock()
+				w.cloud.rejectTerminate = c.rejectTerminate
+				w.cloud.mu.Unlock()
+				isOverdue := func() (overdue bool) {
+					n.inspect(func(c *Controller) {
+						overdue = c.leaderTerm.provisioning[agent.status.Machine].Terminating
+					})
+					return overdue
+				}
+				for !isOverdue() {
+					time.Sleep(time.Millisecond)
+				}
+				if c.rejectTerminate {
+					time.Sleep(2 * time.Second) // until the request has failed
+				}
+				agent.heartbeatFor(n, 3)
+				w.checkEqual("running", len(agent.running()), c.wantRunning)
+				w.cloud.mu.Lock()
+				w.cloud.rejectTerminate = false
+				w.cloud.mu.Unlock()
+				agent.heartbeatFor(n, 10)
+				w.checkEqual("terminated", w.cloud.terminated(agent.status.Machine), c.wantTerminated)
+			})
+		})
+	}
+}
