A new leader reads the list of machines before it launches any

What callers saw: after a change of leader, machines were launched a second time for a demand for which machines of the earlier leader were booting.

Cause: the first scan of a term requests the list and launches machines at once. The machines that the earlier leader launched, and that have not reported yet, are only known from the list.

Machines launched within the lag of the list are still not known.

--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -32,6 +32,9 @@
 	terminations     terminations
 	nextListAt       time.Time
 	listInFlight     bool
+	// listRead is set once a read of the list has ended. Before, the machines that an earlier leader
+	// launched are not known.
+	listRead bool
 	// vanished holds the machines that were terminated before their first heartbeat, with the time at
 	// which this became known, while the list may still contain them.
 	vanished map[string]time.Time
@@ -129,7 +132,7 @@
 }
 
 // ScaleOut updates the surplus, starts or reverts drains, and launches the machines that the demand
-// lacks. Nothing is launched while machines are unfenced.
+// lacks. Nothing is launched while machines are unfenced, or before the first read of the list has ended.
 func (a *Autoscaler) ScaleOut(view *View) Commands {
 	total := 0.0
 	for _, m := range view.Machines {
@@ -146,7 +149,7 @@
 	target := max(a.Demand(view)*(1+a.policy.Headroom), a.policy.MinCPUs)
 	a.surplusCPUs = total - a.peak.add(view.Now, target, a.policy.DemandWindow)
 	commands := Commands{Drains: a.Drain(view)}
-	if view.Unfenced > 0 {
+	if view.Unfenced > 0 || !a.listRead {
 		return commands
 	}
 	offers := a.offers(view.Types, view.Now)
@@ -207,5 +210,5 @@
 
 // ListEnded ends a read of the cloud's list of machines, whether it succeeded or failed.
 func (a *Autoscaler) ListEnded(now time.Time) {
-	a.listInFlight, a.nextListAt = false, now.Add(listInterval)
+	a.listInFlight, a.listRead, a.nextListAt = false, true, now.Add(listInterval)
 }
--- a/internal/autoscaler/autoscaler_test.go
+++ b/internal/autoscaler/autoscaler_test.go
@@ -33,6 +33,7 @@
 	team := &queue.Team[*cluster.Job]{Name: "red", LimitCPUs: 1000}
 	scaler := New(7, p, config.Workers{HeartbeatS: 2, LeaseS: 10}, config.CloudLimits{ListLagS: 4})
 	scaler.surplusSince = start // no surplus before the test starts
+	scaler.listRead = true
 	return &testFleet{
 		Autoscaler: scaler,
 		team:       team,
@@ -131,6 +132,7 @@
 			f.addMachine("m", true)
 		}, nil},
 		{"finishing job has no demand", func(f *testFleet) { f.view.Jobs["job"].Finishing = true }, nil},
+		{"list of machines not read yet", func(f *testFleet) { f.listRead = false }, nil},
 		{"unfenced machines", func(f *testFleet) { f.view.Unfenced = 1 }, nil},
 		{"machine types unknown", func(f *testFleet) { f.view.Types = nil }, nil},
 	} {
--- a/internal/autoscaler/doc.go
+++ b/internal/autoscaler/doc.go
@@ -9,5 +9,6 @@
 //   - The machines of a launch request count as capacity until LaunchEnded reports its outcome.
 //   - At most maxLaunchesInFlight launch requests and one termination request are in flight.
 //   - The termination of a machine is requested again until a request for it has succeeded.
-//   - Nothing is launched while machines may still apply commands of earlier terms.
+//   - Nothing is launched while machines may still apply commands of earlier terms, or before the list
+//     of machines has been read.
 package autoscaler
--- a/internal/controller/provisioning_test.go
+++ b/internal/controller/provisioning_test.go
@@ -237,3 +237,20 @@
 		})
 	}
 }
+
+// Guards against machines that are paid for twice after a leader change: the next leader must not launch
+// more before it knows from the list which machines the earlier leader launched.
+func TestNextLeaderCountsBootingMachines(t *testing.T) {
+	simulateScaling(t, func(w *simulatedCluster) {
+		n := w.start("n0")
+		w.submit(n, spec("job-1", 2))
+		first := w.awaitLaunches(1, 10*time.Second)
+		n.crash()
+		n = w.start("n0")
+		time.Sleep(5 * time.Second)
+		w.checkEqual("machines launched", w.cloud.launchedNames(), first)
+		agent := w.worker(first[0], "a", true)
+		agent.heartbeatFor(n, 4)
+		w.checkEqual("running", len(agent.running()), 2)
+	})
+}
