Cards of tasks whose job has ended count against every team's limit

Cause: a leader doesn't know the team of tasks whose job was cancelled while the leader changed. It counted the CPUs of their machine against every team's limit, and no cards.

Change: CPUs and cards of such a machine are kept together as UnattributedUsage, and one function, leaderTerm.withinLimit, checks a team's limit for starts, pending reasons and loans.

TestUsageIsSumOfReservedAttempts checks the cards as well.

--- a/internal/cluster/machine.go
+++ b/internal/cluster/machine.go
@@ -85,10 +85,10 @@
 
 	Attempts map[AttemptKey]*Attempt
 	// unattributedAttempts counts the attempts whose job, and thus whose team's quota, is not
-	// known. unattributedCPUs is the machine's share of the leader's TotalUnattributedCPUs.
-	unattributedAttempts  int
-	unattributedCPUs      float64
-	TotalUnattributedCPUs *float64
+	// known. unattributed is the machine's share of the leader's TotalUnattributed.
+	unattributedAttempts int
+	unattributed         UnattributedUsage
+	TotalUnattributed    *UnattributedUsage
 	// Images is the leader's model of the machine's image cache. Fetching holds the images that
 	// its tasks are waiting for.
 	Images   ImageCache
@@ -176,16 +176,20 @@
 		m.CPUs > 0 && m.PreemptAt.IsZero() && m.unattributedAttempts == 0 && !now.Before(m.CordonedUntil)
 }
 
-// adjustUnattributed adds n unattributed attempts and updates TotalUnattributedCPUs. Because the
-// resources of these attempts are not known, all CPUs of a machine that has any count as used.
+// UnattributedUsage is the usage of attempts whose job, and thus whose team's quota, is not known.
+type UnattributedUsage struct{ CPUs, GPUs float64 }
+
+// adjustUnattributed adds n unattributed attempts and updates TotalUnattributed. Because the resources of
+// these attempts are not known, all CPUs and GPUs of a machine that has any count as used.
 func (m *Machine) adjustUnattributed(n int) {
 	m.unattributedAttempts += n
-	inUse := 0.0
+	var inUse UnattributedUsage
 	if m.unattributedAttempts > 0 {
-		inUse = m.CPUs
+		inUse = UnattributedUsage{CPUs: m.CPUs, GPUs: m.GPUs}
 	}
-	*m.TotalUnattributedCPUs += inUse - m.unattributedCPUs
-	m.unattributedCPUs = inUse
+	m.TotalUnattributed.CPUs += inUse.CPUs - m.unattributed.CPUs
+	m.TotalUnattributed.GPUs += inUse.GPUs - m.unattributed.GPUs
+	m.unattributed = inUse
 }
 
 // RegistryEntry returns the machine's entry in a registry record.
--- a/internal/cluster/reserve_test.go
+++ b/internal/cluster/reserve_test.go
@@ -11,11 +11,11 @@
 
 // reservations is a small cluster and the attempts on its machines.
 type reservations struct {
-	teams                 []*queue.Team[*Job]
-	jobs                  []*Job
-	machines              []*Machine
-	attempts              []*Attempt
-	totalUnattributedCPUs float64
+	teams             []*queue.Team[*Job]
+	jobs              []*Job
+	machines          []*Machine
+	attempts          []*Attempt
+	totalUnattributed UnattributedUsage
 }
 
 func newReservations(rnd *rand.Rand) *reservations {
@@ -36,9 +36,10 @@
 	}
 	for range 3 {
 		r.machines = append(r.machines, &Machine{
-			Zone:                  []string{"north", "south"}[rnd.IntN(2)],
-			CPUs:                  16,
-			TotalUnattributedCPUs: &r.totalUnattributedCPUs,
+			Zone:              []string{"north", "south"}[rnd.IntN(2)],
+			CPUs:              16,
+			GPUs:              4,
+			TotalUnattributed: &r.totalUnattributed,
 		})
 	}
 	return r
@@ -71,11 +72,14 @@
 // check compares the usage of machines, teams and jobs with the sums over the attempts.
 func (r *reservations) check(t *testing.T) {
 	t.Helper()
-	unattributedTotal := 0.0
+	var total UnattributedUsage
 	for _, m := range r.machines {
-		unattributedTotal += r.checkMachine(t, m)
+		used := r.checkMachine(t, m)
+		total.CPUs += used.CPUs
+		total.GPUs += used.GPUs
 	}
-	checkAmount(t, "unattributed CPUs", r.totalUnattributedCPUs, unattributedTotal)
+	checkAmount(t, "unattributed CPUs", r.totalUnattributed.CPUs, total.CPUs)
+	checkAmount(t, "unattributed GPUs", r.totalUnattributed.GPUs, total.GPUs)
 	for _, team := range r.teams {
 		used := r.sum(func(a *Attempt) bool { return a.Job != nil && a.Job.Team == team })
 		checkAmount(t, "CPUs of a team", team.UsedCPUs, used.CPUs)
@@ -89,8 +93,8 @@
 	}
 }
 
-// checkMachine checks the usage of a machine and returns its unattributed CPUs.
-func (r *reservations) checkMachine(t *testing.T, m *Machine) float64 {
+// checkMachine checks the usage of a machine and returns its unattributed usage.
+func (r *reservations) checkMachine(t *testing.T, m *Machine) UnattributedUsage {
 	t.Helper()
 	used := r.sum(func(a *Attempt) bool { return a.Machine == m && a.Job != nil })
 	checkAmount(t, "CPUs of a machine", m.UsedCPUs, used.CPUs)
@@ -99,9 +103,9 @@
 	unattributed := r.sum(func(a *Attempt) bool { return a.Machine == m && a.Job == nil }).Tasks
 	checkAmount(t, "unattributed attempts of a machine", float64(m.unattributedAttempts), float64(unattributed))
 	if unattributed > 0 {
-		return m.CPUs
+		return UnattributedUsage{CPUs: m.CPUs, GPUs: m.GPUs}
 	}
-	return 0
+	return UnattributedUsage{}
 }
 
 // sum returns the total resources of the matching attempts, and their number as Tasks.
--- a/internal/controller/assignment.go
+++ b/internal/controller/assignment.go
@@ -163,12 +163,19 @@
 		return false
 	case !j.CanUse(m, now) || !j.MayStartMoreOn(m, now):
 		return false
-	case !j.Team.WithinLimit(s.CPUs, s.GPUs, lt.unfencedCPUs+lt.unattributedCPUs, lt.unfencedGPUs):
+	case !lt.withinLimit(j.Team, s.CPUs, s.GPUs):
 		return false
 	}
 	return m.CanFetch(s.Image, lt.maxFetches) || lt.fetchesWithinTwoHeartbeats(j, m)
 }
 
+// withinLimit reports whether a team's usage would stay within its limit with more tasks of the given total
+// size. What machines may run that are not fenced, or that hold tasks of unknown jobs, counts against every
+// team.
+func (lt *leaderTerm) withinLimit(team *queue.Team[*cluster.Job], cpus, gpus float64) bool {
+	return team.WithinLimit(cpus, gpus, lt.unfencedCPUs+lt.unattributed.CPUs, lt.unfencedGPUs+lt.unattributed.GPUs)
+}
+
 // minCostDifference is the difference in placement cost, in seconds, from which on the cheaper of
 // two machines counts as better.
 const minCostDifference = 0.5
--- a/internal/controller/leaderterm.go
+++ b/internal/controller/leaderterm.go
@@ -52,10 +52,10 @@
 	unfenced     int
 	unfencedCPUs float64
 	unfencedGPUs float64
-	// unattributedCPUs is the total capacity of the machines that hold tasks of jobs which this leader
-	// does not know, because they have ended. The teams of these jobs are not known either, so the
-	// capacity counts against every team's limit.
-	unattributedCPUs float64
+	// unattributed is the total capacity of the machines that hold tasks of jobs which this leader does
+	// not know, because they have ended. The teams of these jobs are not known either, so the capacity
+	// counts against every team's limit.
+	unattributed cluster.UnattributedUsage
 
 	readIndex    readIndexer
 	dependencies dependencyGraph
--- a/internal/controller/loanlending.go
+++ b/internal/controller/loanlending.go
@@ -150,11 +150,10 @@
 func (l *loans) computeBudget(j *cluster.Job, spare float64) loan.Budget {
 	s := &j.Spec
 	lt := l.leaderTerm
-	unknownCPUs := lt.unfencedCPUs + lt.unattributedCPUs
 	tasks := 0
 	for tasks < s.Tasks {
 		cpus, gpus := float64(tasks+1)*s.CPUs, float64(tasks+1)*s.GPUs
-		if cpus > spare+cluster.Epsilon || !j.Team.WithinLimit(cpus, gpus, unknownCPUs, lt.unfencedGPUs) {
+		if cpus > spare+cluster.Epsilon || !lt.withinLimit(j.Team, cpus, gpus) {
 			break
 		}
 		tasks++
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -67,16 +67,16 @@
 // addMachine adds a machine that has sent its first heartbeat or was read from the registry.
 func (lt *leaderTerm) addMachine(name, typeName, zone string, spot bool, now time.Time) *cluster.Machine {
 	m := &cluster.Machine{
-		Name:                  name,
-		Type:                  typeName,
-		Zone:                  zone,
-		Spot:                  spot,
-		TotalUnattributedCPUs: &lt.unattributedCPUs,
-		LastSeen:              now,
-		AddedAt:               now,
-		IdleSince:             now,
-		Attempts:              map[cluster.AttemptKey]*cluster.Attempt{},
-		TaskErrorsByJob:       map[string]int{},
+		Name:              name,
+		Type:              typeName,
+		Zone:              zone,
+		Spot:              spot,
+		TotalUnattributed: &lt.unattributed,
+		LastSeen:          now,
+		AddedAt:           now,
+		IdleSince:         now,
+		Attempts:          map[cluster.AttemptKey]*cluster.Attempt{},
+		TaskErrorsByJob:   map[string]int{},
 	}
 	if machineType, ok := lt.c.machineTypes.load()[typeName]; ok {
 		m.CPUs, m.GPUs, m.MemoryGB = machineType.CPUs, machineType.GPUs, machineType.MemoryGB
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -190,7 +190,7 @@
 		return "fails everywhere"
 	case lt.unfenced > 0 && j.ModRevision <= lt.term.ModRevision:
 		return "takeover"
-	case !j.Team.WithinLimit(s.CPUs, s.GPUs, lt.unfencedCPUs+lt.unattributedCPUs, lt.unfencedGPUs):
+	case !lt.withinLimit(j.Team, s.CPUs, s.GPUs):
 		return "team limit"
 	case j.Load.Deferred || j.Infeasible:
 		return "gives way"
