Exclusions: remove those of tasks that have ended

Cause: the exclusions of failed tasks were kept for as long as the job lived, and each check of whether the job avoids a machine looks at all of them.

Change: they are removed once a minute when another one is added, so their number is bounded by that of the failures of the last two minutes.

Test: TestEndedExclusionsOfTasksAreRemoved.

--- a/internal/cluster/exclusions.go
+++ b/internal/cluster/exclusions.go
@@ -1,6 +1,9 @@
 package cluster
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Exclusions are the machines that a job's tasks must avoid for a while, because tasks of the job failed
 // or were slow there. An exclusion ends by itself: the machine may have recovered, and there may be no
@@ -12,6 +15,8 @@
 type Exclusions struct {
 	machines map[string]*machineExclusion
 	tasks    map[int]taskExclusion
+	// nextPrune is the earliest time at which the ended exclusions of tasks are removed.
+	nextPrune time.Time
 }
 
 // machineExclusion excludes all tasks of the job from a machine until a time, if failures has reached
@@ -58,19 +63,25 @@
 		x.duration = min(max(2*x.duration, minExclusion), maxExclusion)
 	}
 	x.until = now.Add(x.duration)
-	e.excludeTask(task, machine, x.until)
+	e.excludeTask(task, machine, x.until, now)
 	return x.until
 }
 
 // ExcludeStraggler excludes a task from the machine on which it was slow.
 func (e *Exclusions) ExcludeStraggler(task int, machine string, now time.Time) {
-	e.excludeTask(task, machine, now.Add(maxExclusion))
+	e.excludeTask(task, machine, now.Add(maxExclusion), now)
 }
 
-func (e *Exclusions) excludeTask(task int, machine string, until time.Time) {
+// excludeTask excludes a task from a machine. It removes the ended exclusions of tasks, at most once in
+// maxExclusion, so that their number is bounded by that of recent failures.
+func (e *Exclusions) excludeTask(task int, machine string, until, now time.Time) {
 	if e.tasks == nil {
 		e.tasks = map[int]taskExclusion{}
 	}
+	if !now.Before(e.nextPrune) {
+		maps.DeleteFunc(e.tasks, func(_ int, x taskExclusion) bool { return !now.Before(x.until) })
+		e.nextPrune = now.Add(maxExclusion)
+	}
 	e.tasks[task] = taskExclusion{machine: machine, until: until}
 }
 
--- a/internal/cluster/exclusions_test.go
+++ b/internal/cluster/exclusions_test.go
@@ -72,6 +72,20 @@
 	}
 }
 
+// Exclusions of tasks are kept only while they last, and for at most a minute longer: every start of a task
+// looks at them.
+func TestEndedExclusionsOfTasksAreRemoved(t *testing.T) {
+	var e Exclusions
+	now := time.Unix(0, 0)
+	for task := range 1000 {
+		e.RecordFailure(task, "m", now)
+		now = now.Add(time.Second)
+		if most := int(2 * maxExclusion / time.Second); len(e.tasks) > most {
+			t.Fatalf("after %d failures: %d exclusions, want at most %d", task+1, len(e.tasks), most)
+		}
+	}
+}
+
 // Guards against a faulty machine that gets every task of a job again whenever an exclusion ends.
 func TestMachineOnProbationGetsOneTask(t *testing.T) {
 	now := time.Unix(1000, 0)
