--- a/internal/controller/exclusions_test.go
+++ b/internal/controller/exclusions_test.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -188,3 +190,42 @@
 		})
 	}
 }
+
+// exitJob makes the running tasks of a job exit with the given cause.
+func (k *worker) exitJob(id, cause string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for i := range k.status.Tasks {
+		task := &k.status.Tasks[i]
+		if task.Phase == api.TaskRunning && strings.HasPrefix(task.Task, id+"/") {
+			task.Phase, task.Cause = api.TaskExited, cause
+		}
+	}
+}
+
+// Guards against cordons that keep all jobs off the only machine because the tasks of one job fail there
+// again and again.
+func TestFailingJobLeavesTheOnlyMachineToOthers(t *testing.T) {
+	simulateScaling(t, func(w *simulatedCluster) {
+		w.cloud.capacity = 0
+		n := w.start("n0")
+		agent := w.worker("i-1", "a", false)
+		run := func(seconds int) {
+			for range seconds {
+				agent.heartbeat(n)
+				agent.exitJob("job-1", api.CauseError)
+				time.Sleep(time.Second)
+			}
+		}
+		run(4)
+		w.submit(n, spec("job-1", 100))
+		for i := range 5 {
+			run(60)
+			id := fmt.Sprint("job-", i+2)
+			w.submit(n, spec(id, 2))
+			run(int(maxWaitWithRoom.Seconds()))
+			w.checkEqual("running", agent.running(), []string{id + "/0", id + "/1"})
+			agent.exitJob(id, api.CauseDone)
+		}
+	})
+}
