Test that fails: a late copy of a direct start runs a reaped attempt again

A task ran on two machines at once (ran_twice), after copies of two calls that had been carried out and answered 11.5 s and 10.6 s before reached their machines once more. Both attempts had ended and had been reaped, and a machine that has reaped an attempt no longer knows it.

Change: TestLateCopyOfDirectStart delivers each answered command batch once more after its attempts were done, failed, refused, moved or cancelled, with the same leader, none, one that is back within a second, or another.

--- a/internal/controller/directcommands_test.go
+++ b/internal/controller/directcommands_test.go
@@ -30,7 +30,9 @@
 	machines map[string]*worker
 	mode     batchMode
 	delayed  []func() uint64
-	sent     int // number of batches since the last takeSentCount
+	// delivered are the batches that were delivered immediately, for deliverCopies.
+	delivered []func() uint64
+	sent      int // number of batches since the last takeSentCount
 }
 
 // SendCommands implements CommandSender.
@@ -61,12 +63,29 @@
 		return 0, api.ErrCommandsOutcomeUnknown
 	}
 	defer s.mu.Unlock()
+	s.delivered = append(s.delivered, apply)
 	if seq := apply(); seq != 0 {
 		return seq, nil
 	}
 	return 0, api.ErrCommandsNotApplied
 }
 
+// addMachine adds a machine that the sender reaches.
+func (s *fakeCommandSender) addMachine(agent *worker) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.machines[agent.status.Machine] = agent
+}
+
+// deliverCopies delivers all batches that were delivered immediately once more.
+func (s *fakeCommandSender) deliverCopies() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, apply := range s.delivered {
+		apply()
+	}
+}
+
 // Resync implements CommandSender. Dead machines do not respond.
 func (s *fakeCommandSender) Resync(_ context.Context, addr string, term uint64) (*api.Heartbeat, error) {
 	s.mu.Lock()
