Fix: a machine's fencing token rises before an attempt started directly is reaped

Cause: a check in one path and not in another. A copy of a start has no effect while the machine knows the attempt; reaping made it forget the attempt, and isReapable did not ask whether a copy of the start could still be accepted. Within a term nothing else rejects it: token and agent epoch still match.

The response that reaps such an attempt carries a token above that of its start, so the machine rejects every copy from the moment in which it forgets the attempt, whoever leads then. Token and reap are applied together, so no heartbeat more is needed, and nothing is written. It is not raised while a batch is in flight to the machine. Followers answer on behalf with the machine's own token; a relayed response does not reap what it cannot protect. Deployments with short heartbeats keep one token a term. A start of unknown outcome no longer counts once the machine has a higher token. Logs and status tell tokens, batches and attempts that appear again.

--- a/internal/cluster/attempt.go
+++ b/internal/cluster/attempt.go
@@ -103,13 +103,16 @@
 }
 
 // MayStillStart reports whether a direct start may still be applied although heartbeat hb does not
-// show the attempt. A start is applied only once: if an earlier heartbeat showed the attempt, it
-// has left the machine.
+// show the attempt. If an earlier heartbeat showed the attempt, it has left the machine: it is reaped
+// only once the machine rejects copies of its start.
 func (a *Attempt) MayStillStart(hb *api.Heartbeat) bool {
 	d := a.DirectStart
 	if d == nil || a.LastSeenHeartbeat != 0 || hb.AgentEpoch > d.AgentEpoch {
 		return false
 	}
+	if d.Token != 0 && hb.Term > d.Token {
+		return false // the machine rejects the batch from now on
+	}
 	return d.InFlight || d.OutcomeUnknown || hb.Seq < d.FirstHeartbeatSeq
 }
 
@@ -126,6 +129,10 @@
 // the machine or relayed through the key-value store.
 type DirectStart struct {
 	AgentEpoch uint64
+	// Token is the fencing token of the command batch that was sent to the machine. While the machine
+	// has no higher one, a late copy of the batch starts the attempt again once it is reaped. Token is
+	// 0 for a relayed start: it reaches the machine in a heartbeat response, which is never applied late.
+	Token uint64
 	// InFlight is set until the outcome is known. OutcomeUnknown is set if it never will be.
 	InFlight, OutcomeUnknown bool
 	// FirstHeartbeatSeq is the sequence number of the first heartbeat that must show the attempt.
--- a/internal/cluster/machine.go
+++ b/internal/cluster/machine.go
@@ -38,6 +38,9 @@
 	// AgentEpoch and HeartbeatSeq are the worker agent's epoch and the sequence number of the
 	// newest heartbeat.
 	AgentEpoch, HeartbeatSeq uint64
+	// Token is the highest fencing token of this term that the leader has sent to the machine, or
+	// that the machine has reported.
+	Token uint64
 	// HeartbeatCount counts the heartbeats applied.
 	HeartbeatCount int
 	// LastCommands are the commands of the last heartbeat response, sent at LastCommandsAt.
--- a/internal/controller/attempts.go
+++ b/internal/controller/attempts.go
@@ -15,6 +15,11 @@
 ) *cluster.Attempt {
 	key.Ref = strings.Clone(key.Ref)
 	a := &cluster.Attempt{Key: key, Machine: m, Phase: status.Phase, SentAt: now}
+	if key.ID>>attemptTermShift == lt.term.Number {
+		lt.counts.startedAgain++
+		lt.c.Log.Warn("machine reports an attempt that had left it", "machine", m.Name, "task", key.Ref,
+			"attempt", key.ID, "phase", status.Phase, "token", m.Token)
+	}
 	m.Attempts[key] = a
 	id, task, ok := cluster.ParseTaskRef(key.Ref)
 	if j := lt.jobs[id]; ok && j != nil && task < j.Spec.Tasks {
--- a/internal/controller/directcommands.go
+++ b/internal/controller/directcommands.go
@@ -10,6 +10,7 @@
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/autoscaler"
 	"example.org/ivytrestle/internal/cluster"
+	"example.org/ivytrestle/internal/config"
 )
 
 // CommandSender sends commands to a machine outside heartbeat responses.
@@ -18,8 +19,8 @@
 	// heartbeat that must show their attempts. An error wraps api.ErrCommandsNotApplied or
 	// api.ErrCommandsOutcomeUnknown.
 	SendCommands(ctx context.Context, addr string, commands *api.CommandBatch) (seq uint64, err error)
-	// Resync raises a machine's fencing token to a term and returns a heartbeat with that token.
-	Resync(ctx context.Context, addr string, term uint64) (*api.Heartbeat, error)
+	// Resync raises a machine's fencing token and returns a heartbeat with that token.
+	Resync(ctx context.Context, addr string, token uint64) (*api.Heartbeat, error)
 }
 
 // Task starts are sent directly to machines with free capacity if the heartbeat interval is so long
@@ -30,8 +31,9 @@
 //
 //   - Until the command is acknowledged, or if its outcome remains unknown, the attempt counts as on
 //     the machine, even if heartbeats do not show it. It counts so until the machine has a new agent
-//     epoch, is terminated, or sends a heartbeat that shows the attempt. From that heartbeat on, the
-//     heartbeats can be relied on, since a command is applied at most once.
+//     epoch or a higher fencing token, is terminated, or sends a heartbeat that shows the attempt.
+//     From that heartbeat on, the heartbeats can be relied on: until the machine rejects copies of the
+//     command, the attempt is not reaped, and a machine that knows it ignores them.
 //   - A machine that does not acknowledge a command is assigned no more tasks, and is terminated
 //     immediately if the job has ended.
 //   - A command counts as not applied only if the machine reports so, or if no connection to the
@@ -63,8 +65,7 @@
 // dispatch sends starts of pending tasks to machines with free capacity, in the order of price per
 // CPU and then of free CPUs, both ascending.
 func (lt *leaderTerm) dispatch(now time.Time) {
-	heartbeatInterval := lt.c.Settings.Site.Workers.HeartbeatInterval()
-	if lt.c.CommandSender == nil || heartbeatInterval <= minDirectHeartbeatInterval || now.After(lt.dispatchUntil) {
+	if lt.c.CommandSender == nil || !sendsStartsDirectly(lt.c.Settings.Site.Workers) || now.After(lt.dispatchUntil) {
 		return
 	}
 	if !lt.hasPendingTasks() || now.Before(lt.nextDirectCommand) {
@@ -98,10 +99,17 @@
 	}
 }
 
+// sendsStartsDirectly reports whether starts are sent outside heartbeat responses, because the
+// heartbeat interval is long.
+func sendsStartsDirectly(workers config.Workers) bool {
+	return workers.HeartbeatInterval() > minDirectHeartbeatInterval
+}
+
 // acceptsDirectCommands reports whether starts may be sent directly to a machine: it has free capacity,
-// and there is no sign that this node cannot reach it.
+// there is no sign that this node cannot reach it, and its fencing token can still be raised above that
+// of the starts.
 func (lt *leaderTerm) acceptsDirectCommands(m *cluster.Machine, now time.Time) bool {
-	return m.IsSchedulable(now) && m.FreeCPUs() > cluster.Epsilon &&
+	return m.IsSchedulable(now) && m.FreeCPUs() > cluster.Epsilon && m.Token < lt.term.Tokens().Last &&
 		!m.CommandInFlight && !m.LastHeartbeatForwarded && m.UnappliedResponses == 0 && m.Addr != "" &&
 		now.Sub(m.LastHeartbeat) <= lt.detector.HeartbeatTimeout()
 }
@@ -122,12 +130,14 @@
 	attempts := make([]*cluster.Attempt, 0, len(commands))
 	for _, command := range commands {
 		a := m.Attempts[cluster.AttemptKey{Ref: command.Task, ID: command.Attempt}]
-		a.DirectStart = &cluster.DirectStart{AgentEpoch: m.AgentEpoch, InFlight: true}
+		a.DirectStart = &cluster.DirectStart{AgentEpoch: m.AgentEpoch, Token: m.Token, InFlight: true}
 		attempts = append(attempts, a)
 	}
 	m.CommandInFlight = true
 	lt.commandsInFlight++
-	addr, batch := m.Addr, &api.CommandBatch{Term: lt.term.Number, AgentEpoch: m.AgentEpoch, Commands: commands}
+	addr, batch := m.Addr, &api.CommandBatch{Term: m.Token, AgentEpoch: m.AgentEpoch, Commands: commands}
+	lt.c.Log.Debug("command batch sent", "machine", m.Name, "token", m.Token, "agentEpoch", m.AgentEpoch,
+		"count", len(commands), "firstTask", commands[0].Task, "firstAttempt", commands[0].Attempt)
 	timeout := directTimeout
 	if now := time.Now(); !lt.detector.RanContinuouslySince(now.Add(-recentPauseWindow), now) {
 		timeout = slowDirectTimeout
@@ -170,6 +180,7 @@
 		case m.err == nil:
 			a.DirectStart.FirstHeartbeatSeq = m.seq
 		case errors.Is(m.err, api.ErrCommandsNotApplied):
+			m.leaderTerm.counts.startsRejected++
 			if a.LastSeenHeartbeat == 0 && m.machine.Attempts[a.Key] == a {
 				m.leaderTerm.removeAttempt(a)
 			}
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -261,6 +261,7 @@
 		Store:         store,
 		LeaseDuration: currentPolicy.LeaderLease,
 		RenewInterval: 3 * time.Second,
+		TokensPerTerm: TokensPerTerm(c.Settings.Site.Workers),
 		Observer:      c,
 		Log:           log,
 		StepDowns:     c.StepDowns(),
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -36,8 +36,9 @@
 func (lt *leaderTerm) handleHeartbeat(
 	hb *api.Heartbeat, origin heartbeatOrigin, now time.Time,
 ) (api.HeartbeatResponse, error) {
-	response := api.HeartbeatResponse{Term: lt.term.Number, Commands: []api.Command{}}
-	if hb.Term > lt.term.Number {
+	m := lt.machines[hb.Machine]
+	response := api.HeartbeatResponse{Term: lt.tokenFor(m, hb), Commands: []api.Command{}}
+	if hb.Term > lt.term.Tokens().Last {
 		// The machine has received a message of a later term.
 		lt.stepDown()
 		return response, &api.NotLeaderError{}
@@ -51,8 +52,7 @@
 	if lt.terminated.Contains(hb.Machine) {
 		return response, api.ErrUnavailable // delayed: sent before the machine was terminated
 	}
-	m := lt.machines[hb.Machine]
-	if hb.Term < lt.term.Number && (m != nil || lt.provisioning[hb.Machine] == nil) {
+	if hb.Term < lt.term.Tokens().First && (m != nil || lt.provisioning[hb.Machine] == nil) {
 		// A machine's fencing token never decreases, so either the machine has not received
 		// this term yet, or responses do not reach it, or this is a delayed copy of an old
 		// heartbeat. These cases cannot be distinguished. The machine receives this term with
@@ -73,6 +73,7 @@
 		return response, nil // not newer than the last one applied
 	}
 	response.Commands = lt.applyHeartbeat(m, hb, origin, response.Commands, now)
+	response.Term = lt.tokenFor(m, hb)
 	return response, nil
 }
 
@@ -87,7 +88,7 @@
 		m.ProbeFails = 0
 	}
 	lt.ensureRegistered(m)
-	if hb.Term == lt.term.Number {
+	if lt.term.Tokens().Contains(hb.Term) {
 		lt.markFenced(m)
 		if origin == agentInitiated {
 			commands = lt.assignTasks(m, commands, now)
@@ -113,6 +114,7 @@
 	}
 	m.LastHeartbeat = now
 	m.AgentEpoch, m.HeartbeatSeq, m.LastSeen = hb.AgentEpoch, hb.Seq, now
+	m.Token = max(m.Token, hb.Term)
 	if m.Addr != hb.Addr {
 		m.Addr = strings.Clone(hb.Addr)
 	}
@@ -187,7 +189,7 @@
 ) []api.Command {
 	// Stops precede reaps. Otherwise a machine with more than maxCommands exited tasks would
 	// keep running cancelled tasks, while the responses renew its task lease.
-	reaps := lt.applyTaskStatuses(m, hb, now)
+	reaps := lt.applyTaskStatuses(m, hb, origin, now)
 	if origin == agentInitiated {
 		lt.checkCommandsApplied(m, now)
 	}
@@ -215,7 +217,9 @@
 
 // applyTaskStatuses updates the attempts that a heartbeat lists, and returns the commands to reap
 // those that have exited.
-func (lt *leaderTerm) applyTaskStatuses(m *cluster.Machine, hb *api.Heartbeat, now time.Time) []api.Command {
+func (lt *leaderTerm) applyTaskStatuses(
+	m *cluster.Machine, hb *api.Heartbeat, origin heartbeatOrigin, now time.Time,
+) []api.Command {
 	var reaps []api.Command
 	for i := range hb.Tasks {
 		status := &hb.Tasks[i]
@@ -226,7 +230,8 @@
 		}
 		a.LastSeenHeartbeat = m.HeartbeatCount
 		lt.applyTaskStatus(a, status, now)
-		if a.Exited && lt.isReapable(a) && len(reaps) < maxCommands {
+		canReap := origin == agentInitiated && len(reaps) < maxCommands && a.Exited && lt.isReapable(a)
+		if canReap && lt.rejectCopies(a) {
 			reaps = append(reaps, api.Command{Verb: api.VerbReap, Task: status.Task, Attempt: status.Attempt})
 		}
 	}
--- a/internal/controller/largefleet_test.go
+++ b/internal/controller/largefleet_test.go
@@ -8,6 +8,7 @@
 
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/config"
+	"example.org/ivytrestle/internal/election"
 	"example.org/ivytrestle/internal/peer"
 	"example.org/ivytrestle/internal/records"
 	"example.org/ivytrestle/internal/relay"
@@ -41,14 +42,14 @@
 				Phase:   api.TaskRunning,
 			})
 		}
-		ul.recordHeartbeat(hb, &api.HeartbeatResponse{Term: 3}, now)
+		ul.recordHeartbeat(hb, &api.HeartbeatResponse{Term: 3}, 3, now)
 	}
 	sent := map[string]bool{}
 	rounds := 0
 	for ; len(sent) < largeFleet && rounds < largeFleet; rounds++ {
 		now = now.Add(relayInterval)
 		ul.batch++
-		up, _ := ul.buildBatch(&leaseRenewer{term: 3}, true, size*parts*relayCompression)
+		up, _ := ul.buildBatch(&leaseRenewer{tokens: election.NewTokenRange(0, 3)}, true, size*parts*relayCompression)
 		packed, err := relay.Pack(up, ul.batch, parts, size)
 		if err != nil {
 			t.Fatalf("round %d, %d heartbeats: %v", rounds, len(up.Reports), err)
--- a/internal/controller/leaderterm.go
+++ b/internal/controller/leaderterm.go
@@ -80,6 +80,8 @@
 	dispatchUntil time.Time
 	// commandsInFlight is the number of direct command batches without a response yet.
 	commandsInFlight int
+	// tokensExhausted is set once a machine has been given the last fencing token of the term.
+	tokensExhausted bool
 	// directFailures is the number of consecutive direct command batches that failed.
 	directFailures int
 	// nextDirectCommand is the earliest time of the next direct command.
@@ -265,6 +267,10 @@
 		return
 	}
 	lt.loans.tick(now)
+	lt.renewTokens(now)
+	if lt.hasEnded() {
+		return
+	}
 	if !lt.mayRenewLeases(now) || lt.detector.DetectPause(lt.machines, now) {
 		return
 	}
@@ -285,8 +291,11 @@
 	lt.logPending(now)
 }
 
+// attemptTermShift is the number of bits of an attempt number below that of the term.
+const attemptTermShift = 32
+
 // nextAttempt returns an attempt number that is unique across all terms.
 func (lt *leaderTerm) nextAttempt() uint64 {
 	lt.attemptCount++
-	return lt.term.Number<<32 | uint64(lt.attemptCount)
+	return lt.term.Number<<attemptTermShift | uint64(lt.attemptCount)
 }
--- a/internal/controller/leaserenewal.go
+++ b/internal/controller/leaserenewal.go
@@ -29,7 +29,8 @@
 // started twice.
 type leaseRenewer struct {
 	leader string
-	term   uint64
+	// tokens are the fencing tokens of the leader's term.
+	tokens election.TokenRange
 	// verifiedAt is the beginning of the renewalPeriod during which leases may be renewed.
 	verifiedAt time.Time
 	// termRevision is the version of the term key as last read from the store; 0 if not read.
@@ -42,6 +43,9 @@
 	renewedAt map[string]time.Time
 }
 
+// term returns the number of the leader's term, or 0 if it is not known.
+func (lr *leaseRenewer) term() uint64 { return lr.tokens.Last }
+
 const (
 	// maxVerificationAge is how long after the term was read from the store this node answers
 	// machines that last saw an earlier term.
@@ -72,11 +76,12 @@
 	if !lr.leaderUnreachable && !unreachable || leader == "" || leader != lr.leader {
 		return api.HeartbeatResponse{}, false
 	}
-	if now.Sub(lr.verifiedAt) > c.renewalPeriod() || lr.term == 0 || !lr.mayRespond(hb.Term, now) {
+	if now.Sub(lr.verifiedAt) > c.renewalPeriod() || lr.term() == 0 || !lr.mayRespond(hb.Term, now) {
 		return api.HeartbeatResponse{}, false
 	}
 	hasEnded := func(id string) bool { return lr.activeJobs != nil && !lr.activeJobs[id] }
-	response := api.HeartbeatResponse{Term: lr.term, Commands: c.stopCommands(hb, hasEnded)}
+	token := max(hb.Term, lr.tokens.First)
+	response := api.HeartbeatResponse{Term: token, Commands: c.stopCommands(hb, hasEnded)}
 	if lr.renewedAt == nil {
 		lr.renewedAt = map[string]time.Time{}
 	}
@@ -84,18 +89,21 @@
 	return response, true
 }
 
-// mayRespond reports whether a heartbeat from a machine that last saw the given term may be
-// answered. A machine that last saw an earlier term is answered only if the current one was read
+// mayRespond reports whether a heartbeat from a machine with the given fencing token may be
+// answered. A machine with a token of an earlier term is answered only if the current one was read
 // from the store within maxVerificationAge. The new leader, which the machine cannot reach, treats
 // it as unfenced until its next heartbeat arrives through the store.
-func (lr *leaseRenewer) mayRespond(term uint64, now time.Time) bool {
-	return term == lr.term || (term < lr.term && lr.activeJobs != nil && now.Sub(lr.verifiedAt) < maxVerificationAge)
+func (lr *leaseRenewer) mayRespond(token uint64, now time.Time) bool {
+	if lr.tokens.Contains(token) {
+		return true
+	}
+	return token < lr.tokens.First && lr.activeJobs != nil && now.Sub(lr.verifiedAt) < maxVerificationAge
 }
 
 // reset applies a response of the leader to a ping: the leader is reachable and had all
 // cancellations up to verifiedAt.
-func (lr *leaseRenewer) reset(leader string, term uint64, verifiedAt time.Time) {
-	*lr = leaseRenewer{leader: leader, term: term, verifiedAt: verifiedAt}
+func (lr *leaseRenewer) reset(leader string, tokens election.TokenRange, verifiedAt time.Time) {
+	*lr = leaseRenewer{leader: leader, tokens: tokens, verifiedAt: verifiedAt}
 }
 
 // verifyUnreachableLeader verifies the term of an unreachable node if that is the leader, so that
@@ -138,12 +146,12 @@
 	if err := json.Unmarshal(termEntry.Value, &term); err != nil {
 		return m, fmt.Errorf("decode term key: %w", err)
 	}
-	m.term, m.termRevision = term.Number, termEntry.ModRevision
+	m.tokens, m.termRevision = term.Tokens(), termEntry.ModRevision
 	if m.activeJobs, err = c.readActiveJobs(ctx); err != nil {
 		return m, err
 	}
 	if len(followed.machines) > 0 {
-		c.publishRenewals(ctx, followed.machines, m.term, m.termRevision)
+		c.publishRenewals(ctx, followed.machines, m.tokens.Last, m.termRevision)
 	}
 	return m, nil
 }
@@ -276,7 +284,7 @@
 func (m leaderUnreachableMsg) apply(c *Controller) {
 	lr := &c.leaseRenewer
 	if lr.leader == m.leader && !lr.leaderUnreachable {
-		c.Log.Info("leases renewed on behalf of unreachable leader", "leader", m.leader, "term", lr.term)
+		c.Log.Info("leases renewed on behalf of unreachable leader", "leader", m.leader, "term", lr.term())
 		lr.leaderUnreachable = true
 	}
 }
@@ -284,7 +292,7 @@
 // termVerifiedMsg delivers the term and the active jobs as read from the store.
 type termVerifiedMsg struct {
 	leader       string
-	term         uint64
+	tokens       election.TokenRange
 	activeJobs   map[string]bool
 	verifiedAt   time.Time
 	termRevision uint64
@@ -295,10 +303,11 @@
 	if m.leader != c.leader {
 		return
 	}
-	if lr.leader != m.leader || lr.term != m.term {
+	if lr.leader != m.leader || lr.term() != m.tokens.Last {
 		// Another term has begun, or this node has restarted during a partition.
-		*lr = leaseRenewer{leader: m.leader, term: m.term, leaderUnreachable: true}
+		*lr = leaseRenewer{leader: m.leader, leaderUnreachable: true}
 	}
+	lr.tokens = m.tokens
 	lr.activeJobs, lr.verifiedAt, lr.termRevision = m.activeJobs, m.verifiedAt, m.termRevision
 }
 
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -71,6 +71,7 @@
 		Type:              typeName,
 		Zone:              zone,
 		Spot:              spot,
+		Token:             lt.term.Tokens().First,
 		TotalUnattributed: &lt.unattributed,
 		LastSeen:          now,
 		AddedAt:           now,
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -119,7 +119,7 @@
 		c.leaderTerm.downlink.handleRestart(c.leaderTerm, m.node, m.status.Incarnation)
 	}
 	if m.node == c.leader {
-		c.leaseRenewer.reset(m.node, m.status.Term, m.cancellationsKnownAt(c, member, now))
+		c.leaseRenewer.reset(m.node, m.status.Tokens(), m.cancellationsKnownAt(c, member, now))
 	}
 }
 
@@ -136,7 +136,7 @@
 	if m.status.CancellationsKnownAge < 0 {
 		return time.Time{}
 	}
-	if m.status.Term > 1 && now.Sub(leader.TermSeenAt) < workers.Lease()+2*workers.HeartbeatInterval() {
+	if m.status.Tokens().First > 1 && now.Sub(leader.TermSeenAt) < workers.Lease()+2*workers.HeartbeatInterval() {
 		return time.Time{}
 	}
 	return m.sentAt.Add(-m.status.CancellationsKnownAge)
@@ -235,7 +235,8 @@
 	}
 	status.Cancellations = c.cancellations.DeltaSince(m.from.Number, now)
 	if c.holdsLease() {
-		status.Term, status.QuorumRequired = c.leaderTerm.term.Number, c.leaderTerm.quorumRequired
+		status.Term, status.FirstToken = c.leaderTerm.term.Number, c.leaderTerm.term.Tokens().First
+		status.QuorumRequired = c.leaderTerm.quorumRequired
 		if c.leaderTerm.loaded {
 			status.CancellationsKnownAge = now.Sub(c.leaderTerm.cancellationsKnownAt(now))
 		}
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -47,7 +47,7 @@
 			for i := range 2 {
 				response := api.HeartbeatResponse{Term: c.term}
 				hb := &api.Heartbeat{Machine: "i-1", AgentEpoch: c.agentEpoch, Seq: c.seq + uint64(i)}
-				uplink.recordHeartbeat(hb, &response, receivedAt.Add(c.after))
+				uplink.recordHeartbeat(hb, &response, c.term, receivedAt.Add(c.after))
 				want := c.wantDeliveredIn > 0 && i == 0
 				if got := len(response.Commands) > 0; got != want {
 					t.Errorf("heartbeat %d: commands delivered: got %v, want %v", i, got, want)
--- a/internal/controller/relaydownlink.go
+++ b/internal/controller/relaydownlink.go
@@ -206,6 +206,9 @@
 		return
 	}
 	m.RelayPending, m.LastCommands = false, nil
+	response.Commands = slices.DeleteFunc(response.Commands, func(cmd api.Command) bool {
+		return isUnsafeRelayedReap(m, cmd, hb.Term)
+	})
 	if err != nil || withhold || len(response.Commands) == 0 || m.HeartbeatSeq != hb.Seq {
 		return
 	}
--- a/internal/controller/relayuplink.go
+++ b/internal/controller/relayuplink.go
@@ -135,8 +135,11 @@
 }
 
 // recordHeartbeat stores a heartbeat that this node answers on the leader's behalf, to relay it to
-// the leader, and adds the commands that the leader has sent for the machine to the response.
-func (u *relayUplink) recordHeartbeat(hb *api.Heartbeat, response *api.HeartbeatResponse, now time.Time) {
+// the leader, and adds the commands that the leader has sent for the machine to the response. term is
+// the term in which this node answers.
+func (u *relayUplink) recordHeartbeat(
+	hb *api.Heartbeat, response *api.HeartbeatResponse, term uint64, now time.Time,
+) {
 	m := u.machines[hb.Machine]
 	if m == nil {
 		if len(u.machines) >= u.maxMachines {
@@ -157,7 +160,7 @@
 		return
 	}
 	if hb.AgentEpoch != m.agentEpoch || hb.Seq <= m.baseSeq ||
-		response.Term != m.term || now.Sub(m.receivedAt) > relayCommandLifetime {
+		term != m.term || now.Sub(m.receivedAt) > relayCommandLifetime {
 		m.recordOutcome(0)
 		return
 	}
@@ -270,13 +273,13 @@
 			up.Outcomes = append(up.Outcomes, m.outcome)
 			up.Term = m.term
 		}
-		if relaying && m.dirty && maxBytes > 0 && m.heartbeat.Term == renewer.term {
+		if relaying && m.dirty && maxBytes > 0 && renewer.tokens.Contains(m.heartbeat.Term) {
 			maxBytes -= relayedHeartbeatBytes + relayedTaskBytes*len(m.heartbeat.Tasks)
 			up.Reports = append(up.Reports, peer.HeartbeatToProto(m.heartbeat))
 		}
 	}
 	if relaying {
-		up.Term = renewer.term
+		up.Term = renewer.term()
 	}
 	return up, withOutcome
 }
@@ -423,7 +426,7 @@
 		}
 		m.commands, m.agentEpoch, m.baseSeq = peer.CommandsFromProto(o.Orders), o.Session, o.Base
 		m.term, m.receivedAt = down.Term, now
-		if down.Term != c.leaseRenewer.term || o.Session != m.heartbeat.AgentEpoch {
+		if down.Term != c.leaseRenewer.term() || o.Session != m.heartbeat.AgentEpoch {
 			m.recordOutcome(0)
 		}
 	}
--- a/internal/controller/resync.go
+++ b/internal/controller/resync.go
@@ -42,11 +42,11 @@
 // sendResync requests a heartbeat with this term from a machine, in a goroutine that sends a
 // resyncResultMsg.
 func (lt *leaderTerm) sendResync(request failuredetector.Request) {
-	addr, term := request.Machine.Addr, lt.term.Number
+	addr, token := request.Machine.Addr, request.Machine.Token
 	go func() {
 		ctx, cancel := context.WithTimeout(lt.ctx, probeTimeout)
 		defer cancel()
-		hb, err := lt.c.CommandSender.Resync(ctx, addr, term)
+		hb, err := lt.c.CommandSender.Resync(ctx, addr, token)
 		lt.sendToOwner(resyncResultMsg{leaderTerm: lt, request: request, heartbeat: hb, err: err})
 	}()
 }
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -34,6 +34,17 @@
 	Started    int64        `json:"started"`
 	Lost       int64        `json:"lost"`
 	Done       int64        `json:"done"`
+	// FirstToken is the first fencing token of the term.
+	FirstToken uint64 `json:"first_token"`
+	// StartsRejected is the number of direct starts that were not applied.
+	StartsRejected int64 `json:"starts_rejected"`
+	// TokensRaised is how often a machine's fencing token was raised so that an attempt could be
+	// reaped, and ReapsWithheld how often that was not possible yet.
+	TokensRaised  int64 `json:"tokens_raised"`
+	ReapsWithheld int64 `json:"reaps_withheld"`
+	// StartedAgain is the number of attempts of this term that a machine reported although the
+	// leader no longer knew them.
+	StartedAgain int64 `json:"started_again"`
 	// Waits is the number of jobs that wait for their first start, by pending reason.
 	Waits      map[string]int `json:"waits"`
 	FirstStart Latency        `json:"first_start_ms"`
@@ -72,7 +83,13 @@
 
 // counters holds the leader's statistics since its term began.
 type counters struct {
-	started, lost, done  int64
+	started, lost, done int64
+	// startsRejected counts the direct starts that were not applied, tokensRaised how often a
+	// machine's fencing token was raised within the term, and reapsWithheld how often an attempt was
+	// not reaped because its machine's token could not be raised. startedAgain counts the attempts of
+	// this term that a machine reported although the leader no longer knew them.
+	startsRejected, tokensRaised, reapsWithheld, startedAgain int64
+
 	firstStart, recorded *hdrhistogram.Histogram
 }
 
@@ -124,14 +141,21 @@
 // status returns the status of the leader.
 func (lt *leaderTerm) status(now time.Time) *LeaderStatus {
 	s := &LeaderStatus{
-		Term:       lt.term.Number,
-		ValidS:     max(0, lt.leaseExpiry.Sub(now).Seconds()),
-		Machines:   len(lt.machines),
-		Unfenced:   lt.unfenced,
-		Booting:    len(lt.provisioning),
-		Started:    lt.counts.started,
-		Lost:       lt.counts.lost,
-		Done:       lt.counts.done,
+		Term:     lt.term.Number,
+		ValidS:   max(0, lt.leaseExpiry.Sub(now).Seconds()),
+		Machines: len(lt.machines),
+		Unfenced: lt.unfenced,
+		Booting:  len(lt.provisioning),
+		Started:  lt.counts.started,
+		Lost:     lt.counts.lost,
+		Done:     lt.counts.done,
+
+		FirstToken:     lt.term.Tokens().First,
+		StartsRejected: lt.counts.startsRejected,
+		TokensRaised:   lt.counts.tokensRaised,
+		ReapsWithheld:  lt.counts.reapsWithheld,
+		StartedAgain:   lt.counts.startedAgain,
+
 		FirstStart: summarizeLatency(lt.counts.firstStart),
 		Recorded:   summarizeLatency(lt.counts.recorded),
 	}
--- a/internal/controller/termload.go
+++ b/internal/controller/termload.go
@@ -117,7 +117,8 @@
 	if c.CommandSender != nil {
 		lt.resyncNext(now)
 	}
-	c.Log.Info("records loaded", "term", lt.term.Number, "jobs", len(lt.jobs), "machines", lt.unfenced)
+	c.Log.Info("records loaded", "term", lt.term.Number, "jobs", len(lt.jobs), "machines", lt.unfenced,
+		"revision", m.snapshot.revision, "cancelRevision", m.snapshot.cancelRevision)
 }
 
 // addSnapshot adds the records of the store to the empty state of a new term. Jobs are added before
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -157,6 +157,7 @@
 		Store:         store,
 		LeaseDuration: p.LeaderLease,
 		RenewInterval: min(p.LeaderLease/6, maxRenewInterval),
+		TokensPerTerm: controller.TokensPerTerm(s.Site.Workers),
 		Observer:      c,
 		Log:           log,
 		StepDowns:     c.StepDowns(),
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -54,6 +54,7 @@
 	}
 	pong := &peer.Pong{
 		Term:          status.Term,
+		FirstToken:    status.FirstToken,
 		Leader:        status.Leader,
 		StoreOkMs:     uint64(status.KVReachableFor.Milliseconds()),
 		Incarnation:   status.Incarnation,
@@ -160,6 +161,7 @@
 	}
 	peerStatus := membership.PeerStatus{
 		Term:                  status.Term,
+		FirstToken:            status.FirstToken,
 		Leader:                status.Leader,
 		KVReachableFor:        time.Duration(status.StoreOkMs) * time.Millisecond,
 		Incarnation:           status.Incarnation,
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -1,7 +1,8 @@
 // Package election elects one of the controllers as the leader. The leader holds the key "leader"
 // under a lease of the key-value store. In the transaction that writes this key, it also
 // increments the number in the key "term". Every transaction of a leader compares the version of
-// "term", so that a transaction of an earlier leader fails however late it arrives.
+// "term", so that a transaction of an earlier leader fails however late it arrives. With the term
+// the leader gets the fencing tokens that it gives to machines.
 package election
 
 import (
@@ -25,6 +26,8 @@
 // Term identifies a term in which this process is the leader.
 type Term struct {
 	Number uint64
+	// FirstToken is the first fencing token of the term, or 0 if Number is its only one.
+	FirstToken uint64
 	// ModRevision is the version of the term key that the leader's transactions compare.
 	ModRevision uint64
 }
@@ -38,6 +41,8 @@
 // TermRecord is the value of the term key.
 type TermRecord struct {
 	Number uint64 `json:"number"`
+	// FirstToken is the first fencing token of the term, or 0 if Number is its only one.
+	FirstToken uint64 `json:"first_token,omitempty"`
 }
 
 // Observer receives the events of the election. All its methods are called by one goroutine.
@@ -63,6 +68,8 @@
 	LeaseDuration time.Duration
 	// RenewInterval is the time between two renewals of the leader lease.
 	RenewInterval time.Duration
+	// TokensPerTerm is the number of fencing tokens that each term reserves; 0 means 1.
+	TokensPerTerm uint64
 	Observer      Observer
 	Log           *slog.Logger
 	// StepDowns delivers the numbers of terms that the controller has found to be over. The
@@ -226,7 +233,7 @@
 	if expectedTerm != anyTerm && termRecord.Number != expectedTerm {
 		return nil
 	}
-	termRecord.Number++
+	termRecord = termRecord.next(e.TokensPerTerm)
 	sentAt := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	lease, err := e.Store.GrantLease(callCtx, e.LeaseDuration)
@@ -252,17 +259,15 @@
 	if !result.Succeeded {
 		return nil
 	}
-	e.lead(
-		ctx, Term{Number: termRecord.Number, ModRevision: result.Revision},
-		lease, sentAt.Add(leaseValidity(e.LeaseDuration)),
-	)
+	term := Term{Number: termRecord.Number, FirstToken: termRecord.FirstToken, ModRevision: result.Revision}
+	e.lead(ctx, term, lease, sentAt.Add(leaseValidity(e.LeaseDuration)))
 	return nil
 }
 
 // lead notifies the observer of the new term, and renews the lease at intervals until the context
 // ends, the lease has expired, or a notice on StepDowns names the term.
 func (e *Elector) lead(ctx context.Context, term Term, lease uint64, leaseExpiry time.Time) {
-	e.Log.Info("leadership won", "term", term.Number)
+	e.Log.Info("leadership won", "term", term.Number, "firstToken", term.Tokens().First, "revision", term.ModRevision)
 	e.Observer.LeaderChanged(e.Node)
 	e.Observer.ElectionWon(term, leaseExpiry)
 	defer e.Observer.LeadershipLost(term)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -8,12 +8,15 @@
 
 	"example.org/ivytrestle/internal/cancellation"
 	"example.org/ivytrestle/internal/config"
+	"example.org/ivytrestle/internal/election"
 )
 
 // PeerStatus is the state that a node reports in its response to a ping.
 type PeerStatus struct {
 	// Term is the term in which the node currently leads, or 0.
 	Term uint64
+	// FirstToken is the first fencing token of the term, or 0 if the node's version does not tell it.
+	FirstToken uint64
 	// Leader is the leader that the node follows.
 	Leader string
 	// KVReachableFor is for how long the key-value store has answered the node, or 0.
@@ -34,6 +37,11 @@
 	QuorumRequired bool
 }
 
+// Tokens returns the fencing tokens of the term in which the node leads.
+func (s *PeerStatus) Tokens() election.TokenRange {
+	return election.NewTokenRange(s.FirstToken, s.Term)
+}
+
 // Table holds the state of the other nodes, and whether this node reaches the key-value store.
 type Table struct {
 	Members map[string]*Member
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -58,13 +58,13 @@
 // what was read.
 func closeBody(resp *http.Response) { _ = resp.Body.Close() }
 
-// Resync fences a machine at a term with an empty command batch, and returns the heartbeat that
+// Resync raises a machine's fencing token with an empty command batch, and returns the heartbeat that
 // acknowledges the batch. A resync is safe at any time, since the batch contains no commands.
-func (c *Client) Resync(ctx context.Context, addr string, term uint64) (*api.Heartbeat, error) {
+func (c *Client) Resync(ctx context.Context, addr string, token uint64) (*api.Heartbeat, error) {
 	agentEpoch := uint64(1) // still the first epoch on most machines
 	for range 2 {
 		heartbeat, status, err := c.postCommands(ctx, addr, &api.CommandBatch{
-			Term:       term,
+			Term:       token,
 			AgentEpoch: agentEpoch,
 			Commands:   []api.Command{},
 		})
@@ -73,9 +73,9 @@
 			return nil, fmt.Errorf("resync of %s: %w", addr, err)
 		case status == http.StatusOK:
 			return heartbeat, nil
-		case status != http.StatusConflict || heartbeat.Term > term || heartbeat.AgentEpoch == agentEpoch:
-			return nil, fmt.Errorf("resync of %s at term %d: status %d, machine at term %d",
-				addr, term, status, heartbeat.Term)
+		case status != http.StatusConflict || heartbeat.Term > token || heartbeat.AgentEpoch == agentEpoch:
+			return nil, fmt.Errorf("resync of %s with token %d: status %d, machine has token %d",
+				addr, token, status, heartbeat.Term)
 		}
 		agentEpoch = heartbeat.AgentEpoch
 	}
