Tests: any link may deliver any message once more, minutes late

Change: each checked cluster delivers a copy of one in twenty messages 0.2 s to three minutes later, chosen by the test's name: heartbeats, forwarded ones, transactions, lease requests, command batches, resyncs, pings, votes, promises, resignations, peer and user requests, launches and terminations. The run checker fails if any attempt starts twice.

--- a/internal/controller/checkedcluster_test.go
+++ b/internal/controller/checkedcluster_test.go
@@ -60,6 +60,9 @@
 	})
 }
 
+// lateShare is the share of messages of which a checked cluster delivers a copy late.
+const lateShare = 0.05
+
 // newCheckedCluster runs f with two controllers and the given number of machines, which send a
 // heartbeat every heartbeatS seconds; values below 1 mean 1.
 func newCheckedCluster(t *testing.T, machines int, heartbeatS float64, f func(s *checkedCluster)) {
@@ -76,16 +79,19 @@
 	}
 	w.heartbeatS = heartbeatS
 	w.commandSender = s
+	w.late = newLateMessages(ctx, t.Name(), lateShare)
 	s.checker = &runChecker{
 		cluster:   w,
 		startedAt: time.Now(),
 		jobs:      map[string]*observedJob{},
 		runs:      map[run]bool{},
+		started:   map[run]bool{},
 		hosts:     map[string]*host{},
 	}
 	defer func() {
 		cancel()
 		s.goroutines.Wait()
+		w.late.goroutines.Wait()
 	}()
 	s.goroutines.Go(s.runMachines)
 	s.startNode("n0")
@@ -172,6 +178,7 @@
 	err := errors.New("no controller is running")
 	for try := first; try < first+60; try++ {
 		if n := s.node(s.names[try%len(s.names)]); n != nil {
+			s.late.sent("user request", func(ctx context.Context) { _ = request(ctx, n) })
 			ctx, cancel := context.WithTimeout(s.ctx, 5*time.Second)
 			err = request(ctx, n)
 			cancel()
@@ -325,6 +332,9 @@
 	})
 }
 
+// errNoConnection means that no connection to a machine was made, so that nothing was sent.
+var errNoConnection = errors.New("no connection")
+
 // deliverToMachine delivers a request to a machine and returns the machine's status after it was
 // applied. A hung or slow machine applies it late, even if the sender has timed out by then. apply
 // is called with the machine's lock held and reports whether the machine accepted the request.
@@ -343,7 +353,7 @@
 	machine.mu.Unlock()
 	if isUnreachable {
 		<-ctx.Done()
-		return nil, api.ErrCommandsNotApplied // no connection
+		return nil, fmt.Errorf("%w: %w", api.ErrCommandsNotApplied, errNoConnection)
 	}
 	response := make(chan *api.Heartbeat, 1)
 	// s.goroutines does not count this goroutine, because controllers may still call this function
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -57,6 +57,8 @@
 	dead, unresponsive sync.Map
 	// machines maps addresses to scripted machines.
 	machines sync.Map
+	// late delivers copies of messages of the nodes that are started; nil if there are none.
+	late *lateMessages
 	// ctx is cancelled at the end of the test, which stops all nodes.
 	ctx context.Context
 	// nodeGoroutines counts the goroutines of the nodes, which run until the node crashes or ctx is
@@ -242,7 +244,7 @@
 		currentPolicy.MinCPUs, currentPolicy.Headroom = 0, 0
 	}
 	log := slog.New(slog.DiscardHandler)
-	c := New(Config{
+	nodeConfig := Config{
 		Settings:      w.settings(name, peers != nil),
 		Policy:        currentPolicy,
 		Store:         store,
@@ -254,11 +256,13 @@
 		Cells:         w.cells,
 		CellClient:    w.cellClient,
 		Standby:       w.standby,
-	})
+	}
+	w.addLateMessages(&nodeConfig)
+	c := New(nodeConfig)
 	elector := &election.Elector{
 		Node:          name,
 		Incarnation:   fmt.Sprint(time.Now().UnixNano()),
-		Store:         store,
+		Store:         nodeConfig.Store,
 		LeaseDuration: currentPolicy.LeaderLease,
 		RenewInterval: 3 * time.Second,
 		TokensPerTerm: TokensPerTerm(c.Settings.Site.Workers),
--- a/internal/controller/runchecker_test.go
+++ b/internal/controller/runchecker_test.go
@@ -16,11 +16,13 @@
 // controllers. It fails the test if a run or an answer to a user breaks a rule of the protocol,
 // whichever process is at fault.
 type runChecker struct {
-	cluster    *simulatedCluster
-	startedAt  time.Time
-	mu         sync.Mutex
-	jobs       map[string]*observedJob
-	runs       map[run]bool
+	cluster   *simulatedCluster
+	startedAt time.Time
+	mu        sync.Mutex
+	jobs      map[string]*observedJob
+	runs      map[run]bool
+	// started are all runs that have ever started.
+	started    map[run]bool
 	hosts      map[string]*host
 	violations int
 	// restarted are the tasks that started again after they had completed.
@@ -91,6 +93,10 @@
 		c.fail("%s starts on %s, but its job was never submitted", task, r.machine)
 		return
 	}
+	if c.started[r] {
+		c.fail("%s starts on %s again as attempt %x", task, r.machine, attempt)
+	}
+	c.started[r] = true
 	c.checkOnlyRun(r)
 	c.checkTeamLimit(r, job.spec)
 	c.checkPlacement(r, job.spec, &machine.status)
--- a/internal/controller/simulatedhost_test.go
+++ b/internal/controller/simulatedhost_test.go
@@ -126,6 +126,13 @@
 	if k.cut || k.heartbeatsUndelivered {
 		n = nil
 	}
+	name := k.s.names[k.nodeIndex]
+	k.s.late.sent("heartbeat", func(ctx context.Context) {
+		if receiver := k.s.node(name); receiver != nil {
+			copied := copyHeartbeat(&hb)
+			_, _ = receiver.Heartbeat(ctx, &copied)
+		}
+	})
 	k.s.goroutines.Go(func() {
 		response, err := api.HeartbeatResponse{}, fmt.Errorf("heartbeat of %s: no connection", hb.Machine)
 		if n != nil {
