--- a/internal/loadtest/environment.go
+++ b/internal/loadtest/environment.go
@@ -46,12 +46,18 @@
 	TaskDuration time.Duration
 	// PollsPerSecond is the total rate of job status queries of all users.
 	PollsPerSecond float64
+	// CopyDelays are the times after which a copy of each applied command batch reaches its machine
+	// again, as a network may deliver it.
+	CopyDelays []time.Duration
 }
 
 // Counts holds the number of events since the environment was created. Failed counts failed
-// requests, and machines that could not be started.
+// requests, and machines that could not be started. Copies are the late copies of command batches,
+// CopiesRejected those that the machines rejected, and StartedAgain the attempts that started more
+// than once.
 type Counts struct {
 	Heartbeats, Started, Done, Jobs, Polls, Failed int64
+	Copies, CopiesRejected, StartedAgain           int64
 }
 
 // Environment simulates the services, machines and users around a controller.
@@ -60,11 +66,17 @@
 	KVAddr, CloudAddr string
 
 	plan     Plan
-	counts   struct{ heartbeats, started, done, jobs, polls, failed atomic.Int64 }
+	counts   eventCounts
 	jobIDsMu sync.Mutex
 	jobIDs   []string
 }
 
+// eventCounts are the counts that are updated as the events happen.
+type eventCounts struct {
+	heartbeats, started, done, jobs, polls, failed atomic.Int64
+	copies, copiesRejected, startedAgain           atomic.Int64
+}
+
 // New starts the key-value store and a cloud without capacity on the loopback interface.
 func New(machineType api.MachineType) (*Environment, error) {
 	env := &Environment{}
@@ -116,6 +128,10 @@
 		Jobs:       c.jobs.Load(),
 		Polls:      c.polls.Load(),
 		Failed:     c.failed.Load(),
+
+		Copies:         c.copies.Load(),
+		CopiesRejected: c.copiesRejected.Load(),
+		StartedAgain:   c.startedAgain.Load(),
 	}
 }
 
--- a/internal/loadtest/localcluster/main.go
+++ b/internal/loadtest/localcluster/main.go
@@ -16,7 +16,17 @@
 	"example.org/ivytrestle/internal/loadtest"
 )
 
-const zone = "local"
+const (
+	zone = "local"
+	// countsInterval is how often the counts of events are printed.
+	countsInterval = 10 * time.Second
+	// leaseIntervals is the number of heartbeat intervals of a task lease, if that is more than
+	// minLease.
+	leaseIntervals = 5
+	minLease       = 10 * time.Second
+	// maxCancelTime is the time within which a cancellation must take effect, beyond a lease.
+	maxCancelTime = 20 * time.Second
+)
 
 type cli struct {
 	Settings string        `arg:"" help:"The settings file to write."`
@@ -24,6 +34,9 @@
 	Peers    string        `default:"127.0.0.1:8081" placeholder:"HOST:PORT" help:"Address for other controllers."`
 	Machines int           `default:"4" help:"How many machines the cloud has."`
 	TaskTime time.Duration `default:"5s" help:"About how long each task runs."`
+
+	HeartbeatInterval time.Duration   `default:"1s" help:"The heartbeat interval; above 2s, starts are sent directly."`
+	CopyDelays        []time.Duration `help:"After which times a copy of each command batch arrives again."`
 }
 
 // Run starts the simulation and writes the settings file. It returns only if this fails.
@@ -44,6 +57,7 @@
 		API:               c.API,
 		HeartbeatInterval: settings.Site.Workers.HeartbeatInterval(),
 		TaskDuration:      c.TaskTime,
+		CopyDelays:        c.CopyDelays,
 	})
 	if err != nil {
 		return err
@@ -57,23 +71,31 @@
 		return err
 	}
 	fmt.Printf("controller settings written to %s; interrupt to stop the simulation\n", c.Settings)
-	select {}
+	for range time.Tick(countsInterval) {
+		fmt.Printf("%+v\n", env.Counts())
+	}
+	return nil
 }
 
 // settings returns the settings of a single controller, without the addresses of the simulated
 // services.
 func (c *cli) settings() config.Settings {
+	lease := max(minLease, leaseIntervals*c.HeartbeatInterval)
 	return config.Settings{
 		Node:       "local-0",
 		Zone:       zone,
 		APIAddr:    c.API,
 		PeerListen: c.Peers,
 		Site: config.SiteInfo{
-			Teams:   []config.Team{{Name: "demo", CPUs: 16, LimitCPUs: 64}},
-			Workers: config.Workers{HeartbeatS: 1, LeaseS: 10, CancelS: 30},
-			State:   config.KVLimits{RPS: 80, WriteRPS: 25, ValueKB: 16, TxnOps: 20},
-			Cloud:   config.CloudLimits{RPS: 5, ListLagS: 4},
-			Limits:  config.Limits{Cores: 1, RAMMB: 98, FDLimit: 800},
+			Teams: []config.Team{{Name: "demo", CPUs: 16, LimitCPUs: 64}},
+			Workers: config.Workers{
+				HeartbeatS: c.HeartbeatInterval.Seconds(),
+				LeaseS:     lease.Seconds(),
+				CancelS:    (lease + maxCancelTime).Seconds(),
+			},
+			State:  config.KVLimits{RPS: 80, WriteRPS: 25, ValueKB: 16, TxnOps: 20},
+			Cloud:  config.CloudLimits{RPS: 5, ListLagS: 4},
+			Limits: config.Limits{Cores: 1, RAMMB: 98, FDLimit: 800},
 		},
 	}
 }
--- a/internal/loadtest/machine.go
+++ b/internal/loadtest/machine.go
@@ -23,11 +23,13 @@
 // machine simulates a machine and its worker agent: it sends heartbeats and applies the commands in
 // the responses.
 type machine struct {
-	env          *Environment
-	mu           sync.Mutex
-	heartbeat    api.Heartbeat
-	taskEnds     map[string]time.Time
-	tasksChanged chan struct{}
+	env       *Environment
+	mu        sync.Mutex
+	heartbeat api.Heartbeat
+	taskEnds  map[string]time.Time
+	// startedAttempts are the numbers of all attempts that have started.
+	startedAttempts map[uint64]bool
+	tasksChanged    chan struct{}
 	// terminated is set when the cloud terminates the machine.
 	terminated atomic.Bool
 }
@@ -42,7 +44,10 @@
 			AgentEpoch: 1,
 			Tasks:      []api.TaskStatus{},
 		},
-		taskEnds:     map[string]time.Time{},
+		taskEnds: map[string]time.Time{},
+
+		startedAttempts: map[uint64]bool{},
+
 		tasksChanged: make(chan struct{}, 1),
 	}
 }
@@ -155,6 +160,10 @@
 			duration := time.Duration(float64(m.env.plan.TaskDuration) * (0.5 + rand.Float64()))
 			m.taskEnds[cmd.Task] = time.Now().Add(duration)
 			m.env.counts.started.Add(1)
+			if m.startedAttempts[cmd.Attempt] {
+				m.env.counts.startedAgain.Add(1)
+			}
+			m.startedAttempts[cmd.Attempt] = true
 		case cmd.Verb == api.VerbStop && i >= 0:
 			delete(m.taskEnds, cmd.Task)
 			m.heartbeat.Tasks[i].Phase, m.heartbeat.Tasks[i].Cause = api.TaskExited, api.CauseHalted
@@ -180,11 +189,38 @@
 	if r.URL.Path == "/orders" {
 		var batch api.CommandBatch
 		err := json.NewDecoder(r.Body).Decode(&batch)
-		if err != nil || batch.Term < m.heartbeat.Term || batch.AgentEpoch != m.heartbeat.AgentEpoch {
+		if err != nil || !m.applyBatch(&batch) {
 			status = http.StatusConflict
-		} else {
-			m.applyCommands(batch.Term, batch.Commands)
+		} else if len(batch.Commands) > 0 {
+			m.scheduleCopies(&batch)
 		}
 	}
 	writeJSON(w, status, m.heartbeat)
 }
+
+// applyBatch applies a command batch, and reports whether the machine accepts it. The caller holds the
+// lock.
+func (m *machine) applyBatch(batch *api.CommandBatch) bool {
+	if batch.Term < m.heartbeat.Term || batch.AgentEpoch != m.heartbeat.AgentEpoch {
+		return false
+	}
+	m.applyCommands(batch.Term, batch.Commands)
+	return true
+}
+
+// scheduleCopies makes copies of a command batch arrive after the delays of the plan.
+func (m *machine) scheduleCopies(batch *api.CommandBatch) {
+	for _, delay := range m.env.plan.CopyDelays {
+		time.AfterFunc(delay, func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			if m.terminated.Load() {
+				return
+			}
+			m.env.counts.copies.Add(1)
+			if !m.applyBatch(batch) {
+				m.env.counts.copiesRejected.Add(1)
+			}
+		})
+	}
+}
