Harness: a machine that still hangs at the end of a test no longer spins

Cause: the goroutine that ends a hang waits until the test's context is done and then starts itself again, for ever, if the hang is not over by then.

Change: it starts itself again only while the test goes on.

--- a/internal/controller/simulatedhost_test.go
+++ b/internal/controller/simulatedhost_test.go
@@ -291,7 +291,9 @@
 		k.s.unresponsive.Store(name, true)
 		k.s.goroutines.Go(func() {
 			sleepUnlessZero(k.s.ctx, remaining)
-			k.injectFaults(func(*host) {})
+			if k.s.ctx.Err() == nil {
+				k.injectFaults(func(*host) {})
+			}
 		})
 	}
 }
