Fix: a late batch of a relaying node's earlier process no longer drops commands

Seen by callers, in a test: a task ran on two machines at once while two zones were partitioned.

Cause: an action on stale knowledge, the same class as the late copies of starts. A relaying node writes its batches over one record. A late copy of a batch that an earlier process of the node wrote, in the same term, made the leader take it for a restart: it stopped waiting for the outcome of the commands that the present process was about to deliver, took the heartbeat in whose response they were delivered as evidence that they had not been, and started the tasks elsewhere.

Change: the leader remembers the last 128 processes of each node that were replaced, and ignores their batches.

Result: TestLateBatchOfEarlierProcessKeepsCommandsPending failed before (job-1/0 and /1 started on i-1 while they ran on i-2) and passes; all tests of controller pass.

--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -1,12 +1,16 @@
 package controller
 
 import (
+	"context"
+	"sync"
 	"testing"
 	"time"
 
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/config"
+	"example.org/ivytrestle/internal/kv"
 	"example.org/ivytrestle/internal/peer"
+	"example.org/ivytrestle/internal/records"
 )
 
 // Commands relayed to a node are delivered once, and only in the response to a later heartbeat of the
@@ -93,3 +97,64 @@
 		})
 	})
 }
+
+// recordingStore is a key-value store that keeps the last transaction that writes a prefix.
+type recordingStore struct {
+	kv.Service
+	prefix string
+
+	mu   sync.Mutex
+	last *kv.Txn
+}
+
+func (s *recordingStore) Txn(ctx context.Context, txn kv.Txn) (kv.Result, error) {
+	if writesPrefix(s.prefix)(txn) {
+		copied := copyTransaction(txn)
+		s.mu.Lock()
+		s.last = &copied
+		s.mu.Unlock()
+	}
+	return s.Service.Txn(ctx, txn)
+}
+
+// applyAgain applies the last transaction once more.
+func (s *recordingStore) applyAgain(t *testing.T) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if result, err := s.Service.Txn(t.Context(), *s.last); err != nil || !result.Succeeded {
+		t.Fatalf("late copy of a transaction: got %v, error %v, want it applied", result, err)
+	}
+}
+
+// Guards against a task that runs twice because a late copy of a batch of a node's earlier process makes
+// the leader drop the commands that the present process is about to deliver.
+func TestLateBatchOfEarlierProcessKeepsCommandsPending(t *testing.T) {
+	simulate(t, func(w *simulatedCluster) {
+		l, n0, n1, gate1, near, far := w.partitionZones()
+		n1.crash()
+		time.Sleep(200 * time.Millisecond)
+		earlier := &recordingStore{Service: gate1, prefix: records.RelayPrefix}
+		n1 = l.add("n1", w.startWith("n1", earlier, l))
+		heartbeatBothSides(n0, n1, near, far, 6)
+		n1.crash()
+		time.Sleep(200 * time.Millisecond)
+		n1 = l.add("n1", w.startWith("n1", gate1, l))
+		heartbeatBothSides(n0, n1, near, far, 6)
+		w.fillNearMachine(n0, near)
+		w.checkEqual("commands received by the node", waitForRelayedCommands(n1, far) > 0, true)
+		near.exit(api.CauseDone)
+		n0.inspect(func(c *Controller) { c.leaderTerm.machines["i-2"].CordonedUntil = time.Now().Add(time.Minute) })
+		earlier.applyAgain(t)
+		time.Sleep(600 * time.Millisecond)
+		far.heartbeat(n1) // delivers the commands; the heartbeat itself does not show their tasks
+		w.checkEqual("tasks started by the relayed commands", far.running(), []string{"job-1/0", "job-1/1"})
+		for range 8 {
+			w.checkNoStart("started elsewhere too", near.heartbeat(n0))
+			time.Sleep(400 * time.Millisecond)
+		}
+		far.heartbeatFor(n1, 4)
+		w.checkEqual("running in the end", far.running(), []string{"job-1/0", "job-1/1"})
+		l.partitioned.Store(false)
+	})
+}
--- a/internal/controller/relaydownlink.go
+++ b/internal/controller/relaydownlink.go
@@ -25,10 +25,17 @@
 	nextTick time.Time
 }
 
+// maxEarlierIncarnations is how many earlier processes of a node the leader remembers. Messages are
+// minutes late at most, and a process takes seconds to restart.
+const maxEarlierIncarnations = 128
+
 // relayNode is the state of the relay with one node.
 type relayNode struct {
 	// incarnation identifies the node's process, according to the last batch that was applied.
 	incarnation string
+	// earlierIncarnations identify the node's earlier processes, the latest last. A late copy of one
+	// of their batches says nothing about the present process.
+	earlierIncarnations []string
 	// receivedBatch is the number of the node's last batch that was applied.
 	receivedBatch uint64
 	// batch is the number of the last batch of commands to the node.
@@ -122,6 +129,20 @@
 	}
 }
 
+// replacedBy returns the state of the relay with a new process of the node, whose first batch is up.
+func (n *relayNode) replacedBy(up *peer.RelayUp) relayNode {
+	earlier := n.earlierIncarnations
+	if n.incarnation != "" {
+		earlier = append(earlier, n.incarnation)
+	}
+	return relayNode{
+		incarnation:         up.Incarnation,
+		earlierIncarnations: earlier[max(0, len(earlier)-maxEarlierIncarnations):],
+		batch:               up.Got,
+		pending:             map[string]*relayedCommands{},
+	}
+}
+
 // readUplink reads the batch that a node has written. It returns nil if there is none.
 func readUplink(ctx context.Context, store kv.Service, prefix string) (*peer.RelayUp, error) {
 	page, err := store.Range(ctx, prefix, "", 2*maxRelayParts)
@@ -161,8 +182,12 @@
 	if up == nil || up.Term != lt.term.Number || !c.holdsLease() || !lt.loaded {
 		return
 	}
+	if slices.Contains(node.earlierIncarnations, up.Incarnation) {
+		c.Log.Debug("relayed heartbeats of an earlier process ignored", "node", m.node, "batch", up.Batch)
+		return
+	}
 	if lt.downlink.handleRestart(lt, m.node, up.Incarnation); node.incarnation != up.Incarnation {
-		*node = relayNode{incarnation: up.Incarnation, batch: up.Got, pending: map[string]*relayedCommands{}}
+		*node = node.replacedBy(up)
 	}
 	if up.Batch <= node.receivedBatch {
 		return
