api: the fencing token of heartbeats, responses and batches is called Token

Cause: these fields were called Term, as long as a term had one token.

Change: renamed, with a machine's tests; the wire name is unchanged.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -52,7 +52,7 @@
 	if s.leader != "" {
 		return HeartbeatResponse{}, &NotLeaderError{Leader: s.leader}
 	}
-	return HeartbeatResponse{Term: 4, Commands: []Command{}}, nil
+	return HeartbeatResponse{Token: 4, Commands: []Command{}}, nil
 }
 
 func (s *stubBackend) Status(context.Context) (any, error) { return map[string]int{"term": 4}, nil }
--- a/internal/api/wire.go
+++ b/internal/api/wire.go
@@ -341,7 +341,7 @@
 	Spot              bool         `json:"Windfall"`
 	AgentEpoch        uint64       `json:"Season"`
 	Seq               uint64       `json:"Tally"`
-	Term              uint64       `json:"Warrant"`
+	Token             uint64       `json:"Warrant"`
 	PreemptionNoticeS *float64     `json:"ReclaimS"`
 	Tasks             []TaskStatus `json:"Shoots"`
 }
@@ -426,14 +426,14 @@
 // CommandBatch is a batch of commands that is sent to a machine directly, not in a heartbeat
 // response. It is valid for one agent epoch.
 type CommandBatch struct {
-	Term       uint64    `json:"Warrant"`
+	Token      uint64    `json:"Warrant"`
 	AgentEpoch uint64    `json:"Season"`
 	Commands   []Command `json:"Orders"`
 }
 
 // HeartbeatResponse is the response to a heartbeat.
 type HeartbeatResponse struct {
-	Term     uint64    `json:"Warrant"`
+	Token    uint64    `json:"Warrant"`
 	Commands []Command `json:"Orders"`
 }
 
--- a/internal/cluster/attempt.go
+++ b/internal/cluster/attempt.go
@@ -110,7 +110,7 @@
 	if d == nil || a.LastSeenHeartbeat != 0 || hb.AgentEpoch > d.AgentEpoch {
 		return false
 	}
-	if d.Token != 0 && hb.Term > d.Token {
+	if d.Token != 0 && hb.Token > d.Token {
 		return false // the machine rejects the batch from now on
 	}
 	return d.InFlight || d.OutcomeUnknown || hb.Seq < d.FirstHeartbeatSeq
--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -65,7 +65,7 @@
 			Type:       "small",
 			Zone:       "a",
 			AgentEpoch: 1,
-			Term:       1,
+			Token:      1,
 		}}
 		m := lt.addMachine(k.status.Machine, "small", "a", false, now)
 		m.Fenced, m.Registration = true, cluster.Registered
--- a/internal/controller/checkedcluster_test.go
+++ b/internal/controller/checkedcluster_test.go
@@ -306,11 +306,11 @@
 // SendCommands implements CommandSender.
 func (s *checkedCluster) SendCommands(ctx context.Context, addr string, batch *api.CommandBatch) (uint64, error) {
 	hb, err := s.deliverToMachine(ctx, addr, func(machine *host) bool {
-		if batch.Term < machine.status.Term || batch.AgentEpoch != machine.status.AgentEpoch {
+		if batch.Token < machine.status.Token || batch.AgentEpoch != machine.status.AgentEpoch {
 			return false
 		}
-		machine.changed = machine.changed || batch.Term > machine.status.Term
-		machine.status.Term = batch.Term
+		machine.changed = machine.changed || batch.Token > machine.status.Token
+		machine.status.Token = batch.Token
 		machine.applyCommands(batch.Commands)
 		return true
 	})
@@ -323,11 +323,11 @@
 // Resync implements CommandSender.
 func (s *checkedCluster) Resync(ctx context.Context, addr string, term uint64) (*api.Heartbeat, error) {
 	return s.deliverToMachine(ctx, addr, func(machine *host) bool {
-		if term < machine.status.Term {
+		if term < machine.status.Token {
 			return false
 		}
-		machine.changed = machine.changed || term > machine.status.Term
-		machine.status.Term = term
+		machine.changed = machine.changed || term > machine.status.Token
+		machine.status.Token = term
 		return true
 	})
 }
--- a/internal/controller/directcommands.go
+++ b/internal/controller/directcommands.go
@@ -135,7 +135,7 @@
 	}
 	m.CommandInFlight = true
 	lt.commandsInFlight++
-	addr, batch := m.Addr, &api.CommandBatch{Term: m.Token, AgentEpoch: m.AgentEpoch, Commands: commands}
+	addr, batch := m.Addr, &api.CommandBatch{Token: m.Token, AgentEpoch: m.AgentEpoch, Commands: commands}
 	lt.c.Log.Debug("command batch sent", "machine", m.Name, "token", m.Token, "agentEpoch", m.AgentEpoch,
 		"count", len(commands), "firstTask", commands[0].Task, "firstAttempt", commands[0].Attempt)
 	timeout := directTimeout
--- a/internal/controller/directcommands_test.go
+++ b/internal/controller/directcommands_test.go
@@ -48,10 +48,10 @@
 		agent.mu.Lock()
 		defer agent.mu.Unlock()
 		// Like an agent, reject batches of an earlier term or another agent epoch.
-		if agent.status.Term > batch.Term || agent.status.AgentEpoch != batch.AgentEpoch {
+		if agent.status.Token > batch.Token || agent.status.AgentEpoch != batch.AgentEpoch {
 			return 0
 		}
-		agent.status.Term = batch.Term
+		agent.status.Token = batch.Token
 		agent.applyCommandsLocked(batch.Commands)
 		agent.status.Seq++
 		return agent.status.Seq
@@ -96,10 +96,10 @@
 	}
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
-	if agent.status.Term > term {
+	if agent.status.Token > term {
 		return nil, api.ErrCommandsNotApplied
 	}
-	agent.status.Term = term
+	agent.status.Token = term
 	agent.status.Seq++
 	hb := agent.status
 	hb.Tasks = slices.Clone(agent.status.Tasks)
--- a/internal/controller/failover_test.go
+++ b/internal/controller/failover_test.go
@@ -283,7 +283,7 @@
 		if err != nil {
 			continue
 		}
-		s.checkStarts(agent.status.Term, commands)
+		s.checkStarts(agent.status.Token, commands)
 		agent.applyCommands(commands)
 		return
 	}
--- a/internal/controller/faults_test.go
+++ b/internal/controller/faults_test.go
@@ -320,13 +320,13 @@
 		second := w.start("n0")
 		agent := w.worker("i-1", "a", false)
 		agent.heartbeatFor(second, 2)
-		term := agent.status.Term
+		term := agent.status.Token
 		w.checkEqual("new incarnation leads", term > 0, true)
 		for _, result := range w.store.ApplyDelayed() {
 			w.checkEqual("late takeover applied", result.Succeeded, false)
 		}
 		agent.heartbeatFor(second, 8)
-		w.checkEqual("term", agent.status.Term, term)
+		w.checkEqual("term", agent.status.Token, term)
 
 		w.store.Delay(writesPrefix(records.ActivePrefix))
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -365,7 +365,7 @@
 		second := w.start("n0")
 		agent := w.worker("i-1", "a", false)
 		agent.heartbeatFor(second, 2)
-		w.checkEqual("term of the new incarnation", agent.status.Term, 2)
+		w.checkEqual("term of the new incarnation", agent.status.Token, 2)
 	})
 }
 
@@ -442,7 +442,7 @@
 		agent.heartbeatFor(n, 6)
 		w.checkEqual("running", len(agent.running()), 4)
 		other.heartbeatFor(n, 3)
-		agent.status.Seq, agent.status.Term, agent.status.Tasks = 0, 0, nil
+		agent.status.Seq, agent.status.Token, agent.status.Tasks = 0, 0, nil
 		for range 15 {
 			if !w.cloud.terminated("i-1") {
 				w.checkEqual("tasks elsewhere before the termination", other.running(), []string(nil))
@@ -464,7 +464,7 @@
 		agent := w.worker("i-1", "a", false)
 		agent.heartbeatFor(n, 2)
 		hb := agent.status
-		hb.Term, hb.Seq = hb.Term+1, hb.Seq+1
+		hb.Token, hb.Seq = hb.Token+1, hb.Seq+1
 		n.inspect(func(c *Controller) {
 			defer func() {
 				if p := recover(); p != nil {
--- a/internal/controller/fencingtokens.go
+++ b/internal/controller/fencingtokens.go
@@ -28,7 +28,7 @@
 // tokenFor returns the fencing token of the response to a heartbeat. m is nil if the machine is not
 // known. The token is never lower than the one reported, since the machine would drop the response.
 func (lt *leaderTerm) tokenFor(m *cluster.Machine, hb *api.Heartbeat) uint64 {
-	token := max(lt.term.Tokens().First, hb.Term)
+	token := max(lt.term.Tokens().First, hb.Token)
 	if m != nil {
 		token = max(token, m.Token)
 	}
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -400,8 +400,8 @@
 	response, err := n.Heartbeat(ctx, hb)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if err == nil && response.Term >= k.status.Term {
-		k.status.Term = response.Term
+	if err == nil && response.Token >= k.status.Token {
+		k.status.Token = response.Token
 		return response.Commands, nil
 	}
 	return nil, errors.Join(err, fmt.Errorf("heartbeat of %s: response rejected", hb.Machine))
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -37,8 +37,8 @@
 	hb *api.Heartbeat, origin heartbeatOrigin, now time.Time,
 ) (api.HeartbeatResponse, error) {
 	m := lt.machines[hb.Machine]
-	response := api.HeartbeatResponse{Term: lt.tokenFor(m, hb), Commands: []api.Command{}}
-	if hb.Term > lt.term.Tokens().Last {
+	response := api.HeartbeatResponse{Token: lt.tokenFor(m, hb), Commands: []api.Command{}}
+	if hb.Token > lt.term.Tokens().Last {
 		// The machine has received a message of a later term.
 		lt.stepDown()
 		return response, &api.NotLeaderError{}
@@ -52,7 +52,7 @@
 	if lt.terminated.Contains(hb.Machine) {
 		return response, api.ErrUnavailable // delayed: sent before the machine was terminated
 	}
-	if hb.Term < lt.term.Tokens().First && (m != nil || lt.provisioning[hb.Machine] == nil) {
+	if hb.Token < lt.term.Tokens().First && (m != nil || lt.provisioning[hb.Machine] == nil) {
 		// A machine's fencing token never decreases, so either the machine has not received
 		// this term yet, or responses do not reach it, or this is a delayed copy of an old
 		// heartbeat. These cases cannot be distinguished. The machine receives this term with
@@ -73,7 +73,7 @@
 		return response, nil // not newer than the last one applied
 	}
 	response.Commands = lt.applyHeartbeat(m, hb, origin, response.Commands, now)
-	response.Term = lt.tokenFor(m, hb)
+	response.Token = lt.tokenFor(m, hb)
 	return response, nil
 }
 
@@ -88,7 +88,7 @@
 		m.ProbeFails = 0
 	}
 	lt.ensureRegistered(m)
-	if lt.term.Tokens().Contains(hb.Term) {
+	if lt.term.Tokens().Contains(hb.Token) {
 		lt.markFenced(m)
 		if origin == agentInitiated {
 			commands = lt.assignTasks(m, commands, now)
@@ -114,7 +114,7 @@
 	}
 	m.LastHeartbeat = now
 	m.AgentEpoch, m.HeartbeatSeq, m.LastSeen = hb.AgentEpoch, hb.Seq, now
-	m.Token = max(m.Token, hb.Term)
+	m.Token = max(m.Token, hb.Token)
 	if m.Addr != hb.Addr {
 		m.Addr = strings.Clone(hb.Addr)
 	}
--- a/internal/controller/heartbeatrouting.go
+++ b/internal/controller/heartbeatrouting.go
@@ -99,7 +99,7 @@
 	if node := c.zoneRedirectTarget(msg, now); node != "" {
 		return heartbeatReply{err: &api.NotLeaderError{Leader: node}}
 	}
-	if !c.leaderTerm.mayRenewLeases(now) && msg.heartbeat.Term <= c.leaderTerm.term.Tokens().Last {
+	if !c.leaderTerm.mayRenewLeases(now) && msg.heartbeat.Token <= c.leaderTerm.term.Tokens().Last {
 		return heartbeatReply{err: api.ErrUnavailable}
 	}
 	response, err := c.leaderTerm.handleAgentHeartbeat(msg.heartbeat, now)
@@ -132,7 +132,7 @@
 		return heartbeatReply{err: &api.NotLeaderError{Leader: leader}}
 	}
 	if msg.unreachableLeader == "" && member.IsReachable(now) && member.Term > 0 {
-		settled := member.Tokens().Contains(msg.heartbeat.Term) &&
+		settled := member.Tokens().Contains(msg.heartbeat.Token) &&
 			now.Sub(member.TermSeenAt) > c.Settings.Site.Workers.Lease()
 		if c.forwardAfterRedirect(msg.heartbeat.Machine, leader, member.Term, settled, now) {
 			return heartbeatReply{forwardTo: leader}
@@ -158,7 +158,7 @@
 	machine := c.leaderTerm.machines[msg.heartbeat.Machine]
 	if msg.forwarded || msg.heartbeat.Zone == c.Settings.Zone ||
 		machine == nil || !machine.Fenced || machine.Zone != msg.heartbeat.Zone ||
-		!c.leaderTerm.term.Tokens().Contains(msg.heartbeat.Term) || now.Sub(machine.RedirectedAt) < redirectInterval {
+		!c.leaderTerm.term.Tokens().Contains(msg.heartbeat.Token) || now.Sub(machine.RedirectedAt) < redirectInterval {
 		return ""
 	}
 	for _, p := range c.Settings.Peers {
--- a/internal/controller/largefleet_test.go
+++ b/internal/controller/largefleet_test.go
@@ -33,7 +33,7 @@
 			Zone:       "b",
 			AgentEpoch: 1,
 			Seq:        1,
-			Term:       3,
+			Token:      3,
 		}
 		for task := range 8 {
 			hb.Tasks = append(hb.Tasks, api.TaskStatus{
@@ -42,7 +42,7 @@
 				Phase:   api.TaskRunning,
 			})
 		}
-		ul.recordHeartbeat(hb, &api.HeartbeatResponse{Term: 3}, 3, now)
+		ul.recordHeartbeat(hb, &api.HeartbeatResponse{Token: 3}, 3, now)
 	}
 	sent := map[string]bool{}
 	rounds := 0
--- a/internal/controller/latecopies_test.go
+++ b/internal/controller/latecopies_test.go
@@ -227,7 +227,7 @@
 		w.submit(n, spec("job-1", 1))
 		time.Sleep(time.Second)
 		agents[0].heartbeat(n)
-		token := agents[0].status.Term
+		token := agents[0].status.Token
 		if _, err := n.Cancel(w.t.Context(), "job-1"); err != nil {
 			w.t.Fatal(err)
 		}
@@ -235,12 +235,12 @@
 		w.submit(n, spec("job-2", 1))
 		agents[0].heartbeat(n) // stops job-1/0
 		agents[0].heartbeat(n)
-		w.checkEqual("token while the batch is in flight", agents[0].status.Term, token)
+		w.checkEqual("token while the batch is in flight", agents[0].status.Token, token)
 		w.checkEqual("applied", sender.applyDelayed(), 1)
 		time.Sleep(2 * time.Second)
 		agents[0].heartbeatFor(n, 3)
 		w.checkEqual("running", agents[0].running(), []string{"job-2/0"})
-		w.checkEqual("token afterwards", agents[0].status.Term > token, true)
+		w.checkEqual("token afterwards", agents[0].status.Token > token, true)
 		w.checkEqual("attempts kept", len(agents[0].status.Tasks), 1)
 	})
 }
@@ -261,7 +261,7 @@
 		time.Sleep(time.Second)
 		w.checkEqual("started directly", len(agent.running()), 1)
 		agent.heartbeatFor(leader, 1)
-		token := agent.status.Term
+		token := agent.status.Token
 		w.submit(leader, spec("job-2", 1))
 		time.Sleep(2 * time.Second)
 		links.partitioned.Store(true)
@@ -269,7 +269,7 @@
 		agent.exit(api.CauseDone)
 		before := attemptsOn(agent)
 		agent.heartbeatFor(follower, 8)
-		w.checkEqual("token after answers on behalf", agent.status.Term, token)
+		w.checkEqual("token after answers on behalf", agent.status.Token, token)
 		sender.deliverCopies()
 		w.checkEqual("running after the copies", agent.running(), []string(nil))
 		w.checkEqual("attempts kept while relayed", attemptsOn(agent), before)
@@ -324,7 +324,7 @@
 		w.checkEqual("started directly", len(agent.running()), 2)
 		agent.exit(api.CauseDone)
 		agent.heartbeatFor(leader, 4)
-		raised := agent.status.Term
+		raised := agent.status.Token
 		leader.crash()
 		links.nodes.Delete("n1")
 		old := w.startOld("n0", &gate{Fake: w.store}, links)
@@ -333,14 +333,14 @@
 		sender.deliverCopies()
 		w.checkEqual("attempts before the rollback is complete", len(agent.status.Tasks), 0)
 		agent.heartbeatFor(old, 3)
-		w.checkEqual("the old leader's token is higher", agent.status.Term > raised, true)
-		previous := agent.status.Term
+		w.checkEqual("the old leader's token is higher", agent.status.Token > raised, true)
+		previous := agent.status.Token
 		old.crash()
 		links.nodes.Delete("n0")
 		leader = links.add("n1", w.startWith("n1", w.store, links))
 		time.Sleep(40 * time.Second)
 		agent.heartbeatFor(leader, 3)
-		w.checkEqual("the new leader's token is higher", agent.status.Term > previous, true)
+		w.checkEqual("the new leader's token is higher", agent.status.Token > previous, true)
 		w.submit(leader, spec("job-2", 1))
 		time.Sleep(time.Second)
 		w.checkEqual("started after the rollout", agent.running(), []string{"job-2/0"})
--- a/internal/controller/leaderterm_test.go
+++ b/internal/controller/leaderterm_test.go
@@ -125,7 +125,7 @@
 		n := w.start("n0")
 		k := w.worker("i-1", "a", false)
 		k.heartbeatFor(n, 2)
-		term := k.status.Term
+		term := k.status.Token
 		w.store.SetDown(true)
 		k.heartbeatFor(n, 20)
 		if _, err := k.sendHeartbeat(n); err != nil {
@@ -137,8 +137,8 @@
 		}
 		w.store.SetDown(false)
 		time.Sleep(4 * time.Second)
-		if _, err := k.sendHeartbeat(n); err != nil || k.status.Term != term {
-			t.Errorf("after the outage: got %v, term %d, want term %d", err, k.status.Term, term)
+		if _, err := k.sendHeartbeat(n); err != nil || k.status.Token != term {
+			t.Errorf("after the outage: got %v, term %d, want term %d", err, k.status.Token, term)
 		}
 	})
 }
@@ -151,14 +151,14 @@
 		n1 := w.start("n1")
 		k := w.worker("i-1", "a", false)
 		k.heartbeatFor(n0, 2)
-		first := k.status.Term
+		first := k.status.Token
 		n0.crash()
 		n0 = w.start("n0")
 		if _, err := k.sendHeartbeat(n1); err == nil {
 			t.Error("heartbeat at a follower: got a response, want an error")
 		}
-		if _, err := k.sendHeartbeat(n0); err != nil || k.status.Term <= first {
-			t.Errorf("got %v, term %d, want a term after %d", err, k.status.Term, first)
+		if _, err := k.sendHeartbeat(n0); err != nil || k.status.Token <= first {
+			t.Errorf("got %v, term %d, want a term after %d", err, k.status.Token, first)
 		}
 	})
 }
--- a/internal/controller/leaserenewal.go
+++ b/internal/controller/leaserenewal.go
@@ -76,12 +76,12 @@
 	if !lr.leaderUnreachable && !unreachable || leader == "" || leader != lr.leader {
 		return api.HeartbeatResponse{}, false
 	}
-	if now.Sub(lr.verifiedAt) > c.renewalPeriod() || lr.term() == 0 || !lr.mayRespond(hb.Term, now) {
+	if now.Sub(lr.verifiedAt) > c.renewalPeriod() || lr.term() == 0 || !lr.mayRespond(hb.Token, now) {
 		return api.HeartbeatResponse{}, false
 	}
 	hasEnded := func(id string) bool { return lr.activeJobs != nil && !lr.activeJobs[id] }
-	token := max(hb.Term, lr.tokens.First)
-	response := api.HeartbeatResponse{Term: token, Commands: c.stopCommands(hb, hasEnded)}
+	token := max(hb.Token, lr.tokens.First)
+	response := api.HeartbeatResponse{Token: token, Commands: c.stopCommands(hb, hasEnded)}
 	if lr.renewedAt == nil {
 		lr.renewedAt = map[string]time.Time{}
 	}
--- a/internal/controller/productionnode_test.go
+++ b/internal/controller/productionnode_test.go
@@ -684,12 +684,12 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	lt := o.leaderTerm
-	if lt == nil || hb.Term > lt.term {
+	if lt == nil || hb.Token > lt.term {
 		return api.HeartbeatResponse{}, &api.NotLeaderError{Leader: o.leader}
 	}
-	response := api.HeartbeatResponse{Term: lt.term, Commands: []api.Command{}}
+	response := api.HeartbeatResponse{Token: lt.term, Commands: []api.Command{}}
 	m := lt.machines[hb.Machine]
-	if hb.Term < lt.term {
+	if hb.Token < lt.term {
 		return response, nil // only passes the new term to the agent
 	}
 	if m == nil {
@@ -971,13 +971,13 @@
 // the term and active jobs were read in the last 13 s. It stops tasks of jobs that are not active, and
 // delivers commands that the leader has written to the store.
 func (o *oldNode) renewOnBehalf(hb *api.Heartbeat) (api.HeartbeatResponse, error) {
-	if o.missedPings <= 2 || time.Since(o.verifiedAt) > 13*time.Second || hb.Term > o.term {
+	if o.missedPings <= 2 || time.Since(o.verifiedAt) > 13*time.Second || hb.Token > o.term {
 		return api.HeartbeatResponse{}, &api.NotLeaderError{Leader: o.leader}
 	}
 	copied := *hb
 	copied.Tasks = slices.Clone(hb.Tasks)
 	o.renewedMachines[hb.Machine], o.relayedHeartbeats[hb.Machine] = time.Now(), &copied
-	response := api.HeartbeatResponse{Term: o.term, Commands: []api.Command{}}
+	response := api.HeartbeatResponse{Token: o.term, Commands: []api.Command{}}
 	zero := 0.0
 	for _, t := range hb.Tasks {
 		if id, _, _ := cluster.ParseTaskRef(t.Task); t.Phase != api.TaskExited && !o.activeJobs[id] {
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -49,7 +49,7 @@
 			}
 			uplink.machines["i-1"] = m
 			for i := range 2 {
-				response := api.HeartbeatResponse{Term: c.term}
+				response := api.HeartbeatResponse{Token: c.term}
 				hb := &api.Heartbeat{Machine: "i-1", AgentEpoch: c.agentEpoch, Seq: c.seq + uint64(i)}
 				uplink.recordHeartbeat(hb, &response, c.term, receivedAt.Add(c.after))
 				want := c.wantDeliveredIn > 0 && i == 0
--- a/internal/controller/relaydownlink.go
+++ b/internal/controller/relaydownlink.go
@@ -232,7 +232,7 @@
 	}
 	m.RelayPending, m.LastCommands = false, nil
 	response.Commands = slices.DeleteFunc(response.Commands, func(cmd api.Command) bool {
-		return isUnsafeRelayedReap(m, cmd, hb.Term)
+		return isUnsafeRelayedReap(m, cmd, hb.Token)
 	})
 	if err != nil || withhold || len(response.Commands) == 0 || m.HeartbeatSeq != hb.Seq {
 		return
--- a/internal/controller/relayuplink.go
+++ b/internal/controller/relayuplink.go
@@ -273,7 +273,7 @@
 			up.Outcomes = append(up.Outcomes, m.outcome)
 			up.Term = m.term
 		}
-		if relaying && m.dirty && maxBytes > 0 && renewer.tokens.Contains(m.heartbeat.Term) {
+		if relaying && m.dirty && maxBytes > 0 && renewer.tokens.Contains(m.heartbeat.Token) {
 			maxBytes -= relayedHeartbeatBytes + relayedTaskBytes*len(m.heartbeat.Tasks)
 			up.Reports = append(up.Reports, peer.HeartbeatToProto(m.heartbeat))
 		}
--- a/internal/controller/simulatedhost_test.go
+++ b/internal/controller/simulatedhost_test.go
@@ -166,11 +166,11 @@
 	k.inFlight = false
 	switch {
 	case err == nil:
-		if agentEpoch != k.status.AgentEpoch || response.Term < k.status.Term {
+		if agentEpoch != k.status.AgentEpoch || response.Token < k.status.Token {
 			return
 		}
-		k.changed = k.changed || response.Term > k.status.Term
-		k.status.Term, k.lastAcknowledged = response.Term, sent
+		k.changed = k.changed || response.Token > k.status.Token
+		k.status.Token, k.lastAcknowledged = response.Token, sent
 		k.applyCommands(response.Commands)
 	case errors.As(err, &notLeader) && slices.Contains(k.s.names, notLeader.Leader) &&
 		notLeader.Leader != k.s.names[k.nodeIndex]:
--- a/internal/controller/twofaults_test.go
+++ b/internal/controller/twofaults_test.go
@@ -394,8 +394,8 @@
 			leader = links.add("n0", sim.startWith("n0", sim.store, links))
 			time.Sleep(after - time.Since(confirmed))
 			// The agent gets the new term, as from a resync, but no commands.
-			leader.inspect(func(c *Controller) { agent.status.Term = c.leaderTerm.term.Number })
-			sim.checkEqual("term is a later one than the first", agent.status.Term > 1, true)
+			leader.inspect(func(c *Controller) { agent.status.Token = c.leaderTerm.term.Number })
+			sim.checkEqual("term is a later one than the first", agent.status.Token > 1, true)
 			links.partitioned.Store(true)
 			followerGate.setClosed(true)
 			var renewedAt time.Time
--- a/internal/controller/zonepartition_test.go
+++ b/internal/controller/zonepartition_test.go
@@ -45,13 +45,13 @@
 		w.submit(n0, spec("job-1", 6))
 		k.heartbeatFor(n0, 3)
 		w.checkEqual("running", len(k.running()), 4)
-		term := k.status.Term
+		term := k.status.Token
 		gate0.setClosed(true)
 		for range 10 {
 			k.heartbeatEither(n0, n1)
 			time.Sleep(time.Second)
 		}
-		w.checkEqual("later term", k.status.Term > term, true)
+		w.checkEqual("later term", k.status.Token > term, true)
 		w.checkEqual("still running", len(k.running()), 4)
 		w.checkEqual("rejected node ready", n0.Ready(), false)
 		w.checkEqual("other node ready", n1.Ready(), true)
@@ -82,7 +82,7 @@
 		_, n0, n1, _, _ := w.startPair()
 		k := w.worker("i-1", "", false)
 		k.heartbeatFor(n0, 2)
-		term := k.status.Term
+		term := k.status.Token
 		w.store.SetDown(true)
 		for range 25 {
 			k.heartbeatEither(n0, n1)
@@ -94,7 +94,7 @@
 			k.heartbeatEither(n0, n1)
 			time.Sleep(time.Second)
 		}
-		w.checkEqual("term", k.status.Term, term)
+		w.checkEqual("term", k.status.Token, term)
 	})
 }
 
@@ -131,7 +131,7 @@
 			t.Errorf("time since the last response of the isolated leader: got %v, want at least 25 s", since)
 		}
 		w.checkEqual("ready", n0.Ready(), false)
-		w.checkEqual("the other node leads in a later term", other.status.Term > k.status.Term, true)
+		w.checkEqual("the other node leads in a later term", other.status.Token > k.status.Token, true)
 		w.checkEqual("running on the other machine", len(other.running()), 0)
 	})
 }
@@ -255,7 +255,7 @@
 		}
 		w.checkEqual("redirected though it must know the leader", redirected(), false)
 		// From here on, the worker acts as another machine, which has not tried the leader.
-		k.status.Machine, k.status.Term = "i-2", 0
+		k.status.Machine, k.status.Token = "i-2", 0
 		w.checkEqual("redirected", redirected(), true)
 		w.checkEqual("redirected again at once", redirected(), true)
 		time.Sleep(5 * time.Second)
@@ -540,12 +540,12 @@
 		w.submit(n0, spec("job-1", 8))
 		heartbeatBothSides(n0, n1, near, far, 8)
 		w.checkEqual("running", len(near.running())+len(far.running()), 8)
-		term := far.status.Term
+		term := far.status.Token
 		n0.crash()
 		time.Sleep(200 * time.Millisecond)
 		n0 = l.add("n0", w.startWith("n0", w.store, l))
 		heartbeatBothSides(n0, n1, near, far, 8)
-		w.checkEqual("later term beyond the partition", far.status.Term > term, true)
+		w.checkEqual("later term beyond the partition", far.status.Token > term, true)
 		w.checkEqual("running under the new leader", len(far.running()), 4)
 		n1.crash()
 		time.Sleep(200 * time.Millisecond)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &peer.ReportAnswer{Term: response.Term, Orders: peer.CommandsToProto(response.Commands)}, nil
+	return &peer.ReportAnswer{Term: response.Token, Orders: peer.CommandsToProto(response.Commands)}, nil
 }
 
 // LeaderResigned implements peer.Handler.
@@ -200,7 +200,7 @@
 	if err != nil {
 		return api.HeartbeatResponse{}, err
 	}
-	return api.HeartbeatResponse{Term: response.Term, Commands: peer.CommandsFromProto(response.Orders)}, nil
+	return api.HeartbeatResponse{Token: response.Term, Commands: peer.CommandsFromProto(response.Orders)}, nil
 }
 
 // Resign implements controller.PeerClient.
--- a/internal/loadtest/cellsload/machine.go
+++ b/internal/loadtest/cellsload/machine.go
@@ -99,9 +99,9 @@
 	default:
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		if response.Term >= m.heartbeat.Term && agentEpoch == m.heartbeat.AgentEpoch {
+		if response.Token >= m.heartbeat.Token && agentEpoch == m.heartbeat.AgentEpoch {
 			m.lastResponse = sent
-			m.applyCommands(response.Term, response.Commands)
+			m.applyCommands(response.Token, response.Commands)
 		}
 	}
 }
@@ -159,7 +159,7 @@
 
 // applyCommands applies the start, stop and reap commands of a leader's term to the tasks.
 func (m *machine) applyCommands(term uint64, commands []api.Command) {
-	m.heartbeat.Term = max(m.heartbeat.Term, term)
+	m.heartbeat.Token = max(m.heartbeat.Token, term)
 	m.cell.testbed.ledger.responseApplied(term)
 	for _, cmd := range commands {
 		i := slices.IndexFunc(m.heartbeat.Tasks, func(t api.TaskStatus) bool {
@@ -198,10 +198,10 @@
 	if r.URL.Path == "/orders" {
 		var batch api.CommandBatch
 		err := json.NewDecoder(r.Body).Decode(&batch)
-		if err != nil || batch.Term < m.heartbeat.Term || batch.AgentEpoch != m.heartbeat.AgentEpoch {
+		if err != nil || batch.Token < m.heartbeat.Token || batch.AgentEpoch != m.heartbeat.AgentEpoch {
 			w.WriteHeader(http.StatusConflict)
 		} else {
-			m.applyCommands(batch.Term, batch.Commands)
+			m.applyCommands(batch.Token, batch.Commands)
 		}
 	}
 	_ = json.NewEncoder(w).Encode(m.heartbeat) // the controller sees a write error as well
--- a/internal/loadtest/machine.go
+++ b/internal/loadtest/machine.go
@@ -108,7 +108,7 @@
 	var response api.HeartbeatResponse
 	if resp.StatusCode == http.StatusOK && json.Unmarshal(raw, &response) == nil {
 		m.mu.Lock()
-		m.applyCommands(response.Term, response.Commands)
+		m.applyCommands(response.Token, response.Commands)
 		m.mu.Unlock()
 		m.env.counts.heartbeats.Add(1)
 	} else {
@@ -146,9 +146,9 @@
 	}
 }
 
-// applyCommands applies the start, stop and reap commands of a leader's term to the tasks.
-func (m *machine) applyCommands(term uint64, commands []api.Command) {
-	m.heartbeat.Term = max(m.heartbeat.Term, term)
+// applyCommands applies start, stop and reap commands, which came with a fencing token, to the tasks.
+func (m *machine) applyCommands(token uint64, commands []api.Command) {
+	m.heartbeat.Token = max(m.heartbeat.Token, token)
 	for _, cmd := range commands {
 		i := slices.IndexFunc(m.heartbeat.Tasks, func(t api.TaskStatus) bool {
 			return t.Task == cmd.Task && t.Attempt == cmd.Attempt
@@ -201,10 +201,10 @@
 // applyBatch applies a command batch, and reports whether the machine accepts it. The caller holds the
 // lock.
 func (m *machine) applyBatch(batch *api.CommandBatch) bool {
-	if batch.Term < m.heartbeat.Term || batch.AgentEpoch != m.heartbeat.AgentEpoch {
+	if batch.Token < m.heartbeat.Token || batch.AgentEpoch != m.heartbeat.AgentEpoch {
 		return false
 	}
-	m.applyCommands(batch.Term, batch.Commands)
+	m.applyCommands(batch.Token, batch.Commands)
 	return true
 }
 
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -12,7 +12,7 @@
 		Spot:    hb.Spot,
 		Session: hb.AgentEpoch,
 		Seq:     hb.Seq,
-		Term:    hb.Term,
+		Term:    hb.Token,
 		NoticeS: hb.PreemptionNoticeS,
 		Tasks:   make([]*TaskReport, len(hb.Tasks)),
 	}
@@ -32,7 +32,7 @@
 		Spot:              r.Spot,
 		AgentEpoch:        r.Session,
 		Seq:               r.Seq,
-		Term:              r.Term,
+		Token:             r.Term,
 		PreemptionNoticeS: r.NoticeS,
 		Tasks:             make([]api.TaskStatus, len(r.Tasks)),
 	}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -64,7 +64,7 @@
 	agentEpoch := uint64(1) // still the first epoch on most machines
 	for range 2 {
 		heartbeat, status, err := c.postCommands(ctx, addr, &api.CommandBatch{
-			Term:       token,
+			Token:      token,
 			AgentEpoch: agentEpoch,
 			Commands:   []api.Command{},
 		})
@@ -73,9 +73,9 @@
 			return nil, fmt.Errorf("resync of %s: %w", addr, err)
 		case status == http.StatusOK:
 			return heartbeat, nil
-		case status != http.StatusConflict || heartbeat.Term > token || heartbeat.AgentEpoch == agentEpoch:
+		case status != http.StatusConflict || heartbeat.Token > token || heartbeat.AgentEpoch == agentEpoch:
 			return nil, fmt.Errorf("resync of %s with token %d: status %d, machine has token %d",
-				addr, token, status, heartbeat.Term)
+				addr, token, status, heartbeat.Token)
 		}
 		agentEpoch = heartbeat.AgentEpoch
 	}
--- a/internal/worker/worker_test.go
+++ b/internal/worker/worker_test.go
@@ -62,7 +62,7 @@
 		"malformed response": {respondWith(200, `{"Host"`), api.ErrCommandsOutcomeUnknown},
 	} {
 		client := newClientWithDialer(c.dial)
-		seq, err := client.SendCommands(t.Context(), "10.0.0.1:1", &api.CommandBatch{Term: 1, AgentEpoch: 1})
+		seq, err := client.SendCommands(t.Context(), "10.0.0.1:1", &api.CommandBatch{Token: 1, AgentEpoch: 1})
 		if !errors.Is(err, c.want) || (err == nil) != (seq == 7) {
 			t.Errorf("%s: got sequence number %d, error %v; want error %v", name, seq, err, c.want)
 		}
@@ -82,7 +82,7 @@
 		return next(ctx, network, addr)
 	})
 	if heartbeat, err := client.Resync(t.Context(), "10.0.0.1:1", 5); err != nil ||
-		heartbeat.Seq != 9 || heartbeat.Term != 5 {
+		heartbeat.Seq != 9 || heartbeat.Token != 5 {
 		t.Errorf("got heartbeat %v, error %v; want sequence number 9, term 5", heartbeat, err)
 	}
 	client = newClientWithDialer(respondWith(409, `{"Host":"i-1","Season":1,"Warrant":6}`))
