--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -117,6 +117,9 @@
 	t.Cleanup(func() {
 		cancel()
 		w.nodeGoroutines.Wait()
+		if w.late != nil {
+			w.late.goroutines.Wait()
+		}
 		time.Sleep(maxRequestDuration)
 	})
 	return w
