An attempt of this term that appears again is reaped like a direct start

Cause: the leader no longer knows how such an attempt was started, so a copy of its start may be on its way.

Change: it counts as started with the machine's present token, so that the token rises before it is reaped.

--- a/internal/controller/attempts.go
+++ b/internal/controller/attempts.go
@@ -16,6 +16,8 @@
 	key.Ref = strings.Clone(key.Ref)
 	a := &cluster.Attempt{Key: key, Machine: m, Phase: status.Phase, SentAt: now}
 	if key.ID>>attemptTermShift == lt.term.Number {
+		// How it was started is not known any more, so copies of its start may be on their way.
+		a.DirectStart = &cluster.DirectStart{AgentEpoch: m.AgentEpoch, Token: m.Token}
 		lt.counts.startedAgain++
 		lt.c.Log.Warn("machine reports an attempt that had left it", "machine", m.Name, "task", key.Ref,
 			"attempt", key.ID, "phase", status.Phase, "token", m.Token)
