Test that fails: a late copy of a completion record replaces a later one

Cause: a batch of completion records compares the term and the active record, but not the completion record itself, so in the same term a late copy restores an older one.

Result: the next leader starts two completed tasks again. Their results are kept, so they end at once; no rule of the protocol is broken, work is repeated.

--- a/internal/controller/cells_test.go
+++ b/internal/controller/cells_test.go
@@ -112,7 +112,7 @@
 	w := newSimulatedCluster(g.t)
 	w.teams = []config.Team{{Name: "red", CPUs: 8, LimitCPUs: 16}, {Name: "blue", CPUs: 4, LimitCPUs: 12}}
 	c := &cell{simulatedCluster: w, group: g, name: name, taskStartedAt: map[string]time.Time{}}
-	w.late = newLateMessages(w.ctx, g.t.Name()+name, lateShare)
+	w.late = newLateMessages(w.ctx, g.t.Name()+name)
 	w.cells = &cells.Settings{Cell: name, MaxLoans: 50}
 	for i := range cellCount {
 		if other := fmt.Sprint("cell-", string(rune('a'+i))); other != name {
--- a/internal/controller/checkedcluster_test.go
+++ b/internal/controller/checkedcluster_test.go
@@ -60,9 +60,6 @@
 	})
 }
 
-// lateShare is the share of messages of which a checked cluster delivers a copy late.
-const lateShare = 0.05
-
 // newCheckedCluster runs f with two controllers and the given number of machines, which send a
 // heartbeat every heartbeatS seconds; values below 1 mean 1.
 func newCheckedCluster(t *testing.T, machines int, heartbeatS float64, f func(s *checkedCluster)) {
@@ -79,7 +76,7 @@
 	}
 	w.heartbeatS = heartbeatS
 	w.commandSender = s
-	w.late = newLateMessages(ctx, t.Name(), lateShare)
+	w.late = newLateMessages(ctx, t.Name())
 	s.checker = &runChecker{
 		cluster:   w,
 		startedAt: time.Now(),
--- a/internal/controller/failover_test.go
+++ b/internal/controller/failover_test.go
@@ -146,7 +146,7 @@
 	t.Helper()
 	simulate(t, func(w *simulatedCluster) {
 		w.zones = map[string]string{"n0": "a", "n1": "a", "n2": "a"}
-		w.late = newLateMessages(w.ctx, t.Name(), lateShare)
+		w.late = newLateMessages(w.ctx, t.Name())
 		w.teams[0].LimitCPUs = 100
 		s := &standbyCluster{
 			simulatedCluster: w,
--- a/internal/controller/latecopies_test.go
+++ b/internal/controller/latecopies_test.go
@@ -11,6 +11,7 @@
 
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/election"
+	"example.org/ivytrestle/internal/records"
 )
 
 // Guards against a late copy of a direct start that runs an ended attempt once more, so that its task runs
@@ -348,3 +349,40 @@
 		w.checkEqual("attempts after the copies", len(agent.status.Tasks), 1)
 	})
 }
+
+// Guards against a late copy of a completion record that replaces a later one, so that the next leader
+// starts completed tasks again.
+func TestLateCopyOfCompletionRecord(t *testing.T) {
+	simulate(t, func(w *simulatedCluster) {
+		store := &recordingStore{Service: w.store, prefix: records.CompletionPrefix}
+		n := w.startWith("n0", store, nil)
+		agent := w.worker("i-1", "a", false)
+		w.submit(n, spec("job-1", 4))
+		agent.heartbeatFor(n, 4)
+		w.checkEqual("running", len(agent.running()), 4)
+		agent.exitTasks(api.CauseDone, "job-1/0")
+		agent.heartbeatFor(n, 5)
+		first := store.lastTransaction()
+		agent.exitTasks(api.CauseDone, "job-1/1", "job-1/2")
+		agent.heartbeatFor(n, 5)
+		w.checkEqual("attempts kept once the completions are on record", len(agent.status.Tasks), 1)
+		store.apply(t, first)
+		n.crash()
+		n = w.start("n0")
+		for range 4 {
+			w.checkNoStart("completed task started again", agent.heartbeat(n))
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+// exitTasks makes the named tasks exit with the given cause.
+func (k *worker) exitTasks(cause string, tasks ...string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for i := range k.status.Tasks {
+		if t := &k.status.Tasks[i]; slices.Contains(tasks, t.Task) {
+			t.Phase, t.Cause = api.TaskExited, cause
+		}
+	}
+}
--- a/internal/controller/latemessages_test.go
+++ b/internal/controller/latemessages_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"testing"
 	"time"
 
 	"example.org/ivytrestle/internal/api"
@@ -35,6 +36,8 @@
 }
 
 const (
+	// lateShare is the share of messages of which a copy is delivered, unless setShare changes it.
+	lateShare = 0.05
 	// minLateness and maxLateness are the bounds of the time between a message and its copy.
 	minLateness = 200 * time.Millisecond
 	maxLateness = 3 * time.Minute
@@ -44,13 +47,13 @@
 
 // newLateMessages returns the fault for a cluster whose context is ctx. The name of the test selects
 // the messages and the times.
-func newLateMessages(ctx context.Context, test string, share float64) *lateMessages {
+func newLateMessages(ctx context.Context, test string) *lateMessages {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(test)) // never fails
 	return &lateMessages{
 		ctx:       ctx,
 		random:    rand.New(rand.NewPCG(hash.Sum64(), 45)),
-		share:     share,
+		share:     lateShare,
 		delivered: map[string]int{},
 	}
 }
@@ -162,6 +165,40 @@
 	return txn
 }
 
+// recordingStore is a key-value store that keeps the last transaction that writes a prefix.
+type recordingStore struct {
+	kv.Service
+	prefix string
+
+	mu   sync.Mutex
+	last *kv.Txn
+}
+
+func (s *recordingStore) Txn(ctx context.Context, txn kv.Txn) (kv.Result, error) {
+	if writesPrefix(s.prefix)(txn) {
+		copied := copyTransaction(txn)
+		s.mu.Lock()
+		s.last = &copied
+		s.mu.Unlock()
+	}
+	return s.Service.Txn(ctx, txn)
+}
+
+// lastTransaction returns the last transaction.
+func (s *recordingStore) lastTransaction() kv.Txn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return *s.last
+}
+
+// apply delivers a late copy of a transaction, whose conditions must still hold.
+func (s *recordingStore) apply(t *testing.T, txn kv.Txn) {
+	t.Helper()
+	if result, err := s.Service.Txn(t.Context(), txn); err != nil || !result.Succeeded {
+		t.Fatalf("late copy of a transaction: got %v, error %v, want it applied", result, err)
+	}
+}
+
 // lateCommandSender sends commands to machines. A batch for which there was no connection has no copy.
 type lateCommandSender struct {
 	CommandSender
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -1,14 +1,11 @@
 package controller
 
 import (
-	"context"
-	"sync"
 	"testing"
 	"time"
 
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/config"
-	"example.org/ivytrestle/internal/kv"
 	"example.org/ivytrestle/internal/peer"
 	"example.org/ivytrestle/internal/records"
 )
@@ -98,35 +95,6 @@
 	})
 }
 
-// recordingStore is a key-value store that keeps the last transaction that writes a prefix.
-type recordingStore struct {
-	kv.Service
-	prefix string
-
-	mu   sync.Mutex
-	last *kv.Txn
-}
-
-func (s *recordingStore) Txn(ctx context.Context, txn kv.Txn) (kv.Result, error) {
-	if writesPrefix(s.prefix)(txn) {
-		copied := copyTransaction(txn)
-		s.mu.Lock()
-		s.last = &copied
-		s.mu.Unlock()
-	}
-	return s.Service.Txn(ctx, txn)
-}
-
-// applyAgain applies the last transaction once more.
-func (s *recordingStore) applyAgain(t *testing.T) {
-	t.Helper()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if result, err := s.Service.Txn(t.Context(), *s.last); err != nil || !result.Succeeded {
-		t.Fatalf("late copy of a transaction: got %v, error %v, want it applied", result, err)
-	}
-}
-
 // Guards against a task that runs twice because a late copy of a batch of a node's earlier process makes
 // the leader drop the commands that the present process is about to deliver.
 func TestLateBatchOfEarlierProcessKeepsCommandsPending(t *testing.T) {
@@ -145,7 +113,7 @@
 		w.checkEqual("commands received by the node", waitForRelayedCommands(n1, far) > 0, true)
 		near.exit(api.CauseDone)
 		n0.inspect(func(c *Controller) { c.leaderTerm.machines["i-2"].CordonedUntil = time.Now().Add(time.Minute) })
-		earlier.applyAgain(t)
+		earlier.apply(t, earlier.lastTransaction())
 		time.Sleep(600 * time.Millisecond)
 		far.heartbeat(n1) // delivers the commands; the heartbeat itself does not show their tasks
 		w.checkEqual("tasks started by the relayed commands", far.running(), []string{"job-1/0", "job-1/1"})
--- a/internal/controller/zonepartition_test.go
+++ b/internal/controller/zonepartition_test.go
@@ -307,7 +307,7 @@
 // partitionZones partitions zone a, with the leader n0 and the machine near, from zone b, with the
 // follower n1 and the machine far, whose heartbeats are relayed through the key-value store.
 func (w *simulatedCluster) partitionZones() (l *peerLinks, n0, n1 *node, gate1 *gate, near, far *worker) {
-	w.late = newLateMessages(w.ctx, w.t.Name(), lateShare)
+	w.late = newLateMessages(w.ctx, w.t.Name())
 	l, n0, n1, _, gate1 = w.startPair("a", "b")
 	near, far = w.worker("i-1", "a", false), w.worker("i-2", "b", false)
 	near.heartbeatFor(n0, 3)
