--- a/internal/controller/latecopies_test.go
+++ b/internal/controller/latecopies_test.go
@@ -153,11 +153,7 @@
 		}
 		time.Sleep(time.Duration(random.IntN(5000)) * time.Millisecond)
 	}
-	s.healMachines()
-	for i := range 4 {
-		s.addMachine(fmt.Sprint("i-9", i), []string{"a", "b"}[i%2], false)
-	}
-	s.awaitAllEnded(8 * time.Minute)
+	s.healAndAwaitAllEnded()
 }
 
 // failTasks makes all tasks that run on the machine exit with an error.
--- a/internal/controller/machines_test.go
+++ b/internal/controller/machines_test.go
@@ -676,6 +676,16 @@
 	}
 }
 
+// healAndAwaitAllEnded heals all machines, adds four more, and waits until all jobs have ended.
+func (s *checkedCluster) healAndAwaitAllEnded() {
+	s.t.Helper()
+	s.healMachines()
+	for i := range 4 {
+		s.addMachine(fmt.Sprint("i-9", i), []string{"a", "b"}[i%2], false)
+	}
+	s.awaitAllEnded(8 * time.Minute)
+}
+
 // Guards against starved jobs after faults of all kinds. No job may stay pending for 90 s while a
 // machine that fits has free capacity and its team is below its limit. The leader must therefore
 // resolve what the faults left uncertain, such as machines that miss heartbeats and tasks that may be
@@ -695,11 +705,7 @@
 					s.injectRandomFault(rnd, i+1)
 					time.Sleep(time.Duration(rnd.IntN(3000)) * time.Millisecond)
 				}
-				s.healMachines()
-				for i := range 4 {
-					s.addMachine(fmt.Sprint("i-9", i), []string{"a", "b"}[i%2], false)
-				}
-				s.awaitAllEnded(8 * time.Minute)
+				s.healAndAwaitAllEnded()
 			})
 		})
 	}
