Tests: versions with and without token ranges lead and follow in turn

Change: TestVersionsTakeTurnsToLead and TestOldFollowerInPartition also run with 16 tokens per term of the new nodes; the expected term follows from who has led.

--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -57,6 +57,8 @@
 	dead, unresponsive sync.Map
 	// machines maps addresses to scripted machines.
 	machines sync.Map
+	// tokensPerTerm is the minimum number of fencing tokens that each term of the nodes has.
+	tokensPerTerm uint64
 	// late delivers copies of messages of the nodes that are started; nil if there are none.
 	late *lateMessages
 	// ctx is cancelled at the end of the test, which stops all nodes.
@@ -268,7 +270,7 @@
 		Store:         nodeConfig.Store,
 		LeaseDuration: currentPolicy.LeaderLease,
 		RenewInterval: 3 * time.Second,
-		TokensPerTerm: TokensPerTerm(c.Settings.Site.Workers),
+		TokensPerTerm: max(w.tokensPerTerm, TokensPerTerm(c.Settings.Site.Workers)),
 		Observer:      c,
 		Log:           log,
 		StepDowns:     c.StepDowns(),
--- a/internal/controller/versions_test.go
+++ b/internal/controller/versions_test.go
@@ -333,39 +333,64 @@
 // The leadership alternates between the versions while both accept, run, complete and cancel jobs.
 // Each leader must take over the jobs, completion records and registry that the other has written.
 func TestVersionsTakeTurnsToLead(t *testing.T) {
-	for _, oldLeads := range []bool{true, false} {
-		for changes := range 4 {
-			t.Run(fmt.Sprintf("old leads first %v, %d changes", oldLeads, changes), func(t *testing.T) {
-				simulateMixedCluster(t, 3, oldLeads, func(mc *mixedCluster) {
-					mc.old.submit(spec("job-1", 14))
-					mc.submit(mc.new, spec("job-2", 6))
-					mc.runSeconds(4)
-					for i := range changes {
-						mc.old.submit(spec(fmt.Sprint("job-3", i), 40))
-						mc.submit(mc.new, spec(fmt.Sprint("job-4", i), 40))
-						mc.handOver()
-						mc.runSeconds(4)
-						mc.old.cancel(fmt.Sprint("job-3", i))
-						mc.cancelAtNewNode(fmt.Sprint("job-4", i))
-						mc.runSeconds(2 + i)
-						running := mc.countRunning(fmt.Sprint("job-3", i), fmt.Sprint("job-4", i))
-						mc.checkEqual("tasks of cancelled jobs", running, 0)
-					}
-					mc.runSeconds(30)
-					mc.checkPhases("job-1", "done")
-					mc.checkPhases("job-2", "done")
-					for i := range changes {
-						mc.checkPhases(fmt.Sprint("job-3", i), "withdrawn")
-						mc.checkPhases(fmt.Sprint("job-4", i), "withdrawn")
-					}
-					mc.checkEqual("terms", mc.term(), changes+1) // no node had to begin an additional term
-					mc.checkEqual("completion records left", mc.keysUnder(records.CompletionPrefix), []string(nil))
-				})
-			})
+	for _, tokens := range mixedTokensPerTerm {
+		for _, oldLeads := range []bool{true, false} {
+			for changes := range 4 {
+				name := fmt.Sprintf("old leads first %v, %d changes, %d tokens per term", oldLeads, changes, tokens)
+				t.Run(name, func(t *testing.T) { testLeadershipAlternates(t, tokens, oldLeads, changes) })
+			}
 		}
 	}
 }
 
+// mixedTokensPerTerm are the numbers of fencing tokens that the terms of the new nodes have. Those of
+// the old nodes have one.
+var mixedTokensPerTerm = []uint64{1, 16}
+
+// withTokens returns a function that prepares a cluster whose new nodes have the given number of
+// fencing tokens per term.
+func withTokens(tokens uint64) func(sim *simulatedCluster) {
+	return func(sim *simulatedCluster) { sim.tokensPerTerm = tokens }
+}
+
+// testLeadershipAlternates hands the leadership over the given number of times.
+func testLeadershipAlternates(t *testing.T, tokens uint64, oldLeads bool, changes int) {
+	t.Helper()
+	simulatePreparedMixedCluster(t, withTokens(tokens), 3, oldLeads, func(mc *mixedCluster) {
+		mc.old.submit(spec("job-1", 14))
+		mc.submit(mc.new, spec("job-2", 6))
+		mc.runSeconds(4)
+		for i := range changes {
+			mc.old.submit(spec(fmt.Sprint("job-3", i), 40))
+			mc.submit(mc.new, spec(fmt.Sprint("job-4", i), 40))
+			mc.handOver()
+			mc.runSeconds(4)
+			mc.old.cancel(fmt.Sprint("job-3", i))
+			mc.cancelAtNewNode(fmt.Sprint("job-4", i))
+			mc.runSeconds(2 + i)
+			running := mc.countRunning(fmt.Sprint("job-3", i), fmt.Sprint("job-4", i))
+			mc.checkEqual("tasks of cancelled jobs", running, 0)
+		}
+		mc.runSeconds(30)
+		mc.checkPhases("job-1", "done")
+		mc.checkPhases("job-2", "done")
+		for i := range changes {
+			mc.checkPhases(fmt.Sprint("job-3", i), "withdrawn")
+			mc.checkPhases(fmt.Sprint("job-4", i), "withdrawn")
+		}
+		wantTerm := uint64(0)
+		for i := range changes + 1 {
+			if (i%2 == 0) == oldLeads {
+				wantTerm++
+			} else {
+				wantTerm += tokens
+			}
+		}
+		mc.checkEqual("term", mc.term(), wantTerm) // no node had to begin an additional term
+		mc.checkEqual("completion records left", mc.keysUnder(records.CompletionPrefix), []string(nil))
+	})
+}
+
 // The old node crashes while it leads, and the new node leads once the leader lease has expired.
 // A transaction that the old leader sent earlier must fail if it is applied now, and the old node
 // must follow after its restart.
@@ -756,44 +781,46 @@
 		{"restarted after three records", 3, func(mc *mixedCluster) { mc.old.crash(); mc.startOldNode() }, 3},
 		{"upgraded after three records", 3, func(mc *mixedCluster) { mc.upgradeOldNode() }, 3},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			simulateMixedCluster(t, 1, false, func(mc *mixedCluster) {
-				mc.taskSeconds = 1000
-				mc.old.inspect(func(o *oldNode) { o.uplinkRecords = c.uplinkRecords })
-				for i := range 3 {
-					mc.agents = append(mc.agents, mc.worker(fmt.Sprint("i-2", i), followerZone, false))
-				}
-				submitToFollowerZone := func(id string, tasks int) {
-					s := spec(id, tasks)
-					s.Zone = followerZone
-					mc.submit(mc.new, s)
-				}
-				mc.submit(mc.new, spec("job-1", 2))
-				submitToFollowerZone("job-2", 6)
-				mc.runSeconds(5)
-				mc.checkEqual("started", mc.countRunning("job-1", "job-2"), 8)
-				mc.partitionZones()
-				mc.runSeconds(20)
-				mc.checkEqual("running in the partition", mc.countRunning("job-1", "job-2"), 8)
-				c.then(mc)
-				mc.runSeconds(4)
-				submitToFollowerZone("job-3", 3)
-				mc.runSeconds(10)
-				mc.checkEqual("tasks of job-3 started in the partition", len(mc.runningTasks("job-3")), c.started)
-				mc.checkEqual("machines terminated", mc.cloud.terminatedNames, []string(nil))
-				if mc.successor != nil {
-					mc.checkUplinkReadable("n0")
-				}
-				mc.cancelAtNewNode("job-2")
-				mc.runSeconds(8)
-				mc.checkEqual("tasks of the cancelled job", len(mc.runningTasks("job-2")), 0)
-				mc.healZones()
-				mc.runSeconds(5)
-				submitToFollowerZone("job-4", 4)
-				mc.runSeconds(8)
-				mc.checkEqual("running after the partition", mc.countRunning("job-3", "job-4"), 7)
+		for _, tokens := range mixedTokensPerTerm {
+			t.Run(fmt.Sprintf("%s, %d tokens per term", c.name, tokens), func(t *testing.T) {
+				simulatePreparedMixedCluster(t, withTokens(tokens), 1, false, func(mc *mixedCluster) {
+					mc.taskSeconds = 1000
+					mc.old.inspect(func(o *oldNode) { o.uplinkRecords = c.uplinkRecords })
+					for i := range 3 {
+						mc.agents = append(mc.agents, mc.worker(fmt.Sprint("i-2", i), followerZone, false))
+					}
+					submitToFollowerZone := func(id string, tasks int) {
+						s := spec(id, tasks)
+						s.Zone = followerZone
+						mc.submit(mc.new, s)
+					}
+					mc.submit(mc.new, spec("job-1", 2))
+					submitToFollowerZone("job-2", 6)
+					mc.runSeconds(5)
+					mc.checkEqual("started", mc.countRunning("job-1", "job-2"), 8)
+					mc.partitionZones()
+					mc.runSeconds(20)
+					mc.checkEqual("running in the partition", mc.countRunning("job-1", "job-2"), 8)
+					c.then(mc)
+					mc.runSeconds(4)
+					submitToFollowerZone("job-3", 3)
+					mc.runSeconds(10)
+					mc.checkEqual("tasks of job-3 started in the partition", len(mc.runningTasks("job-3")), c.started)
+					mc.checkEqual("machines terminated", mc.cloud.terminatedNames, []string(nil))
+					if mc.successor != nil {
+						mc.checkUplinkReadable("n0")
+					}
+					mc.cancelAtNewNode("job-2")
+					mc.runSeconds(8)
+					mc.checkEqual("tasks of the cancelled job", len(mc.runningTasks("job-2")), 0)
+					mc.healZones()
+					mc.runSeconds(5)
+					submitToFollowerZone("job-4", 4)
+					mc.runSeconds(8)
+					mc.checkEqual("running after the partition", mc.countRunning("job-3", "job-4"), 7)
+				})
 			})
-		})
+		}
 	}
 }
 
