Fix: jobs that ended stay known to users while the store is slow or many poll

Cause: a lookup takes two reads, active record and terminal record, under one limit of a second. All lookups ran at once, within the users' request rate and a dozen connections. With more polls than the rate allows, first reads used up all of it and the time of each lookup; the second was refused, and all began again at the next poll. A store that took more than half a second for a read failed every lookup for as long as it was slow. Class: overload that feeds itself, the same waste that was mended for the leader's own lookups, and not here.

A read that fails is repeated alone.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -110,8 +110,8 @@
 	failover      failover
 	// draining is set when the process is about to end. The node then no longer leads.
 	draining bool
-	// lookups holds, by job, the lookup in the store that queries of users wait for.
-	lookups map[string]*sharedLookup
+	// lookups reads jobs from the store for users' requests.
+	lookups jobLookups
 }
 
 // message is an event that the owner goroutine applies to its state.
@@ -137,7 +137,7 @@
 		cfg.UserStore = cfg.Store
 	}
 	site, now := cfg.Settings.Site, time.Now()
-	return &Controller{
+	c := &Controller{
 		Config:        cfg,
 		records:       records.NewRecords(cfg.UserStore, site.State),
 		mailbox:       make(chan message, mailboxCapacity),
@@ -150,8 +150,9 @@
 		redirects:     map[string]redirect{},
 		finalStates:   final,
 		cancellations: cancellation.NewLog(site.Workers, site.Limits, now),
-		lookups:       map[string]*sharedLookup{},
 	}
+	c.lookups = jobLookups{controller: c, byJob: map[string]*sharedLookup{}}
+	return c
 }
 
 const (
--- a/internal/records/lookup.go
+++ b/internal/records/lookup.go
@@ -8,28 +8,41 @@
 )
 
 // Lookup reads a job's state from its records. An active job is returned as pending, because no
-// record shows whether it runs.
+// record shows whether it runs. A read that fails is repeated alone: if both were repeated, a store
+// that answers just in time for one of them would never answer the two in a row.
 func (r *Records) Lookup(ctx context.Context, id string) (st api.JobState, found bool, err error) {
 	err = kv.Retry(ctx, func() error {
-		st, found, err = r.tryLookup(ctx, id)
+		st, found, err = r.activeState(ctx, id)
 		return err
 	})
+	if err == nil && !found {
+		err = kv.Retry(ctx, func() error {
+			st, found, err = r.TerminalState(ctx, id)
+			return err
+		})
+	}
 	return st, found, wrapError("look up", id, err)
 }
 
 // tryLookup makes one attempt to look up a job. It reads the active record before the terminal one,
 // so that a job that ends between the two reads is found by at least one of them.
 func (r *Records) tryLookup(ctx context.Context, id string) (api.JobState, bool, error) {
+	st, found, err := r.activeState(ctx, id)
+	if err != nil || found {
+		return st, found, err
+	}
+	return r.TerminalState(ctx, id)
+}
+
+// activeState returns a job's state if it has an active record.
+func (r *Records) activeState(ctx context.Context, id string) (st api.JobState, active bool, err error) {
 	if r.isPendingByCache(ctx, id) {
 		return api.JobState{ID: id, Phase: api.JobPending}, true, nil
 	}
 	e, err := r.getEntry(ctx, ActivePrefix+id)
-	if err != nil {
+	if err != nil || e.ModRevision == 0 || isGuestRecord(e) {
 		return api.JobState{}, false, err
 	}
-	if e.ModRevision == 0 || isGuestRecord(e) {
-		return r.TerminalState(ctx, id)
-	}
 	cancelled, err := r.hasCancelledDependency(ctx, e)
 	if err != nil {
 		return api.JobState{}, false, err
