Tests: a late copy of the ended leader's lease renewal counts for its failover

Trace: since links may deliver any message once more, a copy of the ended leader's last renewal arrived 12.3 s after its end, and the store extended the lease. PROTOCOL allows that.

--- a/internal/controller/failover_test.go
+++ b/internal/controller/failover_test.go
@@ -11,6 +11,7 @@
 
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/cancellation"
+	"example.org/ivytrestle/internal/election"
 	"example.org/ivytrestle/internal/membership"
 	"example.org/ivytrestle/internal/standby"
 )
@@ -325,6 +326,27 @@
 	return s.firstStart[term], s.lastStart
 }
 
+// awaitFailover waits until a leader that ended must have been replaced, and returns when its lease
+// began to run out: at its end, or with a later copy of a renewal. Votes end the lease sooner.
+func (s *standbyCluster) awaitFailover(ended time.Time, lease uint64) time.Time {
+	const longestFailover = 45 * time.Second
+	time.Sleep(longestFailover)
+	for s.voteLifetimeS == 0 && s.late.lastRenewal(lease).After(ended) {
+		ended = s.late.lastRenewal(lease)
+		time.Sleep(longestFailover - time.Since(ended))
+	}
+	return ended
+}
+
+// leaderLease returns the lease of the leader key.
+func (s *standbyCluster) leaderLease() uint64 {
+	entry, err := s.store.Get(s.ctx, election.LeaderKey)
+	if err != nil {
+		s.t.Error(err)
+	}
+	return entry.Lease
+}
+
 // A leader that ends and does not restart is replaced within seconds. If failover is disabled, it
 // is replaced only after its lease has expired.
 func TestFailoverAfterLeaderEnds(t *testing.T) {
@@ -340,9 +362,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			simulateStandby(t, c.voteLifetimeS, func(s *standbyCluster) {
 				n, term := s.leader()
-				startTime := time.Now()
+				ended, lease := time.Now(), s.leaderLease()
 				s.endNode(n.Settings.Node)
-				time.Sleep(45 * time.Second)
+				startTime := s.awaitFailover(ended, lease)
 				firstStart, _ := s.startTimes(term + 1)
 				if took := firstStart.Sub(startTime); firstStart.IsZero() || took < c.minDelay || took > c.maxDelay {
 					t.Errorf("first start in the next term after %v, want %v to %v", took, c.minDelay, c.maxDelay)
--- a/internal/controller/latemessages_test.go
+++ b/internal/controller/latemessages_test.go
@@ -33,6 +33,8 @@
 	share float64
 	// delivered counts the copies delivered, by the name of the message.
 	delivered map[string]int
+	// renewedAt holds, by lease, when the last copy of a renewal was applied.
+	renewedAt map[uint64]time.Time
 }
 
 const (
@@ -55,6 +57,7 @@
 		random:    rand.New(rand.NewPCG(hash.Sum64(), 45)),
 		share:     lateShare,
 		delivered: map[string]int{},
+		renewedAt: map[uint64]time.Time{},
 	}
 }
 
@@ -112,6 +115,20 @@
 	l.share = share
 }
 
+// leaseRenewed records that a copy of a lease renewal was applied.
+func (l *lateMessages) leaseRenewed(lease uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.renewedAt[lease] = time.Now()
+}
+
+// lastRenewal returns when the last copy of a renewal of a lease was applied.
+func (l *lateMessages) lastRenewal(lease uint64) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.renewedAt[lease]
+}
+
 // counts returns the number of copies delivered, by the name of the message.
 func (l *lateMessages) counts() map[string]int {
 	l.mu.Lock()
@@ -145,7 +162,11 @@
 }
 
 func (s lateStore) RenewLease(ctx context.Context, lease uint64) error {
-	s.late.sent("lease renewal", func(ctx context.Context) { _ = s.Service.RenewLease(ctx, lease) })
+	s.late.sent("lease renewal", func(ctx context.Context) {
+		if s.Service.RenewLease(ctx, lease) == nil {
+			s.late.leaseRenewed(lease)
+		}
+	})
 	return s.Service.RenewLease(ctx, lease)
 }
 
