Fix: a leader whose memory the store does not confirm answers polls from the store

Cause: the leader answers from memory once a transaction has confirmed that no cancellation is missing. If that fails, because users cancel faster than its watch delivers, or the store refuses the leader alone, the poll failed; every other node in the same position reads the store, and asks the other nodes after that. Class: a check in one path and not in another. At production size the cancellations of all users meet one watch, so the spell lasts as long as they do. When a term ended, polls that waited for a confirmation got no answer at all.

Change: such a poll is looked up like at any node, and is deferred only while time for that is left. The end of a term replies to all waiting polls. A query of another node is refused, since that node reads the store itself.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -219,9 +219,10 @@
 
 // endTerm ends the term of this node, if it leads, and discards its state.
 func (c *Controller) endTerm() {
-	if c.leaderTerm != nil {
-		c.leaderTerm.cancel()
+	if lt := c.leaderTerm; lt != nil {
+		lt.cancel()
 		c.leaderTerm = nil
+		lt.readIndex.end()
 	}
 }
 
--- a/internal/controller/polls.go
+++ b/internal/controller/polls.go
@@ -22,8 +22,8 @@
 	if err != nil {
 		return api.JobState{}, err
 	}
-	if reply.err != nil || reply.answered {
-		return reply.state, reply.err
+	if reply.answered {
+		return reply.state, nil
 	}
 	if reply.leader != "" && c.Peers != nil {
 		if st, err := c.queryPeer(ctx, reply.leader, id); isConclusive(err) {
@@ -70,10 +70,10 @@
 	switch {
 	case err != nil:
 		return api.JobState{}, err
-	case reply.err != nil || reply.answered:
-		return reply.state, reply.err
-	case reply.kvUnreachable:
-		return api.JobState{}, api.ErrUnavailable
+	case reply.answered:
+		return reply.state, nil
+	case reply.kvUnreachable || reply.unconfirmed:
+		return api.JobState{}, api.ErrUnavailable // the other node reads the store itself
 	}
 	return c.lookup(ctx, id)
 }
@@ -97,7 +97,9 @@
 	otherNodes []string
 	// kvUnreachable is set while this node cannot reach the store.
 	kvUnreachable bool
-	err           error
+	// unconfirmed is set if this node leads and has the job in memory, but the store did not confirm
+	// in time that this memory is up to date.
+	unconfirmed bool
 }
 
 // pollMsg requests a job's state from this node's memory. On the leader it waits for a ReadIndex, so
@@ -118,6 +120,11 @@
 		c.leaderTerm.readIndex.enqueue(m)
 		return
 	}
+	m.reply <- c.whereToLookUp()
+}
+
+// whereToLookUp returns the reply to a poll that this node cannot answer from its memory.
+func (c *Controller) whereToLookUp() pollReply {
 	now := time.Now()
 	reply := pollReply{kvUnreachable: !c.membership.KVReachable}
 	if c.leaderTerm == nil {
@@ -128,7 +135,7 @@
 			reply.otherNodes = append(reply.otherNodes, name)
 		}
 	}
-	m.reply <- reply
+	return reply
 }
 
 // ownsJob reports whether a job is active and was submitted in this cell. Jobs that run here for
@@ -147,7 +154,7 @@
 	j := lt.jobs[id]
 	switch {
 	case j == nil || j.Guest != nil:
-		return pollReply{} // to be read from the store
+		return lt.c.whereToLookUp()
 	case j.CancelPending:
 		// The cancellation of a job that it depends on is on record and final. So users get the
 		// response before the derived cancellation is written: one cancellation may cause many of
@@ -157,7 +164,7 @@
 		// The store must be read in both cases. If the job is ending, other nodes may already read
 		// its terminal record. While dependencies are unresolved, one that is not in memory may be
 		// cancelled, and an earlier leader or another node may have reported this job as cancelled.
-		return pollReply{}
+		return lt.c.whereToLookUp()
 	}
 	return pollReply{state: j.State(), answered: true}
 }
--- a/internal/controller/readindex.go
+++ b/internal/controller/readindex.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/kv"
 	"example.org/ivytrestle/internal/records"
 )
@@ -20,6 +19,8 @@
 	leaderTerm *leaderTerm
 	// waiting holds the polls for the next round.
 	waiting []*pollMsg
+	// inFlight holds the polls of the present round.
+	inFlight []*pollMsg
 	// busy is set from the start of a round until readIndexPause after its end.
 	busy bool
 	// lastStarted is when the last round was started. Rounds are also started at intervals
@@ -34,9 +35,9 @@
 	// readIndexPause is the pause between two rounds. It limits polls to a few requests to the
 	// store per second, and is short compared with the response time that users expect.
 	readIndexPause = 200 * time.Millisecond
-	// pollDeadlineMargin is how long before its deadline a poll is failed instead of being
-	// deferred to another round.
-	pollDeadlineMargin = 200 * time.Millisecond
+	// pollDeadlineMargin is how long before its deadline a poll is no longer deferred to another
+	// round. It leaves time for a lookup in the store.
+	pollDeadlineMargin = pollLookupTimeout + readIndexPause
 )
 
 // enqueue adds a poll to the next round, and starts the round if possible.
@@ -53,8 +54,8 @@
 	}
 	ri.lastStarted = time.Now()
 	ri.busy = true
-	lt, batch, sentAt := ri.leaderTerm, ri.waiting, ri.lastStarted
-	ri.waiting = nil
+	lt, sentAt := ri.leaderTerm, ri.lastStarted
+	ri.inFlight, ri.waiting = ri.waiting, nil
 	txn := kv.Txn{Compares: []kv.Compare{
 		lt.termCompare(),
 		{Key: records.CancelKey, ModRevision: lt.cancelRevision},
@@ -63,51 +64,73 @@
 		ctx, cancel := context.WithTimeout(lt.ctx, readIndexTimeout)
 		defer cancel()
 		result, err := lt.c.Store.Txn(ctx, txn)
-		lt.sendToOwner(readIndexMsg{leaderTerm: lt, batch: batch, sentAt: sentAt, result: result, err: err})
+		lt.sendToOwner(readIndexMsg{leaderTerm: lt, sentAt: sentAt, result: result, err: err})
 	}()
 }
 
 // readIndexMsg contains the result of a round.
 type readIndexMsg struct {
 	leaderTerm *leaderTerm
-	// batch holds the polls that the round serves.
-	batch  []*pollMsg
-	sentAt time.Time
-	result kv.Result
-	err    error
+	sentAt     time.Time
+	result     kv.Result
+	err        error
 }
 
-func (m readIndexMsg) apply(*Controller) {
+func (m readIndexMsg) apply(c *Controller) {
 	lt := m.leaderTerm
+	if lt.hasEnded() {
+		return // its polls have been replied to
+	}
+	if m.err == nil && !m.result.Succeeded && lt.checkTermConflict(m.result) {
+		return
+	}
+	batch := lt.readIndex.inFlight
+	lt.readIndex.inFlight = nil
 	switch {
-	case lt.hasEnded() || m.err != nil || !m.result.Succeeded && lt.checkTermConflict(m.result):
-		for _, poll := range m.batch {
-			poll.reply <- pollReply{err: api.ErrUnavailable}
-		}
+	case m.err != nil:
+		c.replyUnconfirmed(batch)
 	case m.result.Succeeded:
 		lt.cancellationsConfirmedAt = m.sentAt
-		for _, poll := range m.batch {
+		for _, poll := range batch {
 			poll.reply <- lt.pollReplyFor(poll.id)
 		}
 	default:
 		// The cancel key has changed: the watch has not delivered a cancellation yet.
-		lt.readIndex.retry(m.batch)
-	}
-	if !lt.hasEnded() {
-		time.AfterFunc(readIndexPause, func() { lt.sendToOwner(readIndexPauseEndedMsg{lt}) })
+		lt.readIndex.retry(batch)
 	}
+	time.AfterFunc(readIndexPause, func() { lt.sendToOwner(readIndexPauseEndedMsg{lt}) })
 }
 
-// retry defers polls to the next round, and fails those whose deadline is too close.
+// retry defers polls to the next round, except those whose deadline is too close. While users cancel
+// jobs faster than the watch delivers, no round ever succeeds.
 func (ri *readIndexer) retry(batch []*pollMsg) {
 	now := time.Now()
+	var overdue []*pollMsg
 	for _, poll := range batch {
 		if now.Before(poll.deadline.Add(-pollDeadlineMargin)) {
 			ri.waiting = append(ri.waiting, poll)
 		} else {
-			poll.reply <- pollReply{err: api.ErrUnavailable}
+			overdue = append(overdue, poll)
 		}
 	}
+	ri.leaderTerm.c.replyUnconfirmed(overdue)
+}
+
+// end replies to all polls at the end of the term.
+func (ri *readIndexer) end() {
+	ri.leaderTerm.c.replyUnconfirmed(ri.inFlight)
+	ri.leaderTerm.c.replyUnconfirmed(ri.waiting)
+	ri.inFlight, ri.waiting = nil, nil
+}
+
+// replyUnconfirmed replies that the leader's memory could not be confirmed, so that the polls are
+// answered from the store like at any other node.
+func (c *Controller) replyUnconfirmed(polls []*pollMsg) {
+	for _, poll := range polls {
+		reply := c.whereToLookUp()
+		reply.unconfirmed = true
+		poll.reply <- reply
+	}
 }
 
 // readIndexPauseEndedMsg ends the pause after a round, and starts the next one if it is due.
