--- a/internal/api/handlers.go
+++ b/internal/api/handlers.go
@@ -133,9 +133,15 @@
 
 func (s *server) submitJob(w http.ResponseWriter, r *http.Request) {
 	body, err := readBody(w, r, MaxBodyBytes)
-	if err != nil {
+	switch {
+	case isTooLarge(err):
 		s.writeError(w, http.StatusBadRequest, fmt.Errorf("read body of at most %d bytes: %w", MaxBodyBytes, err))
 		return
+	case err != nil:
+		// The user may have sent a valid submission, of which a part was lost.
+		w.Header().Set("Connection", "close")
+		s.writeUnavailable(w, fmt.Errorf("read body: %w", err))
+		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
 	defer cancel()
@@ -169,6 +175,7 @@
 	state, err := s.backend.RecordedJob(ctx, id)
 	switch {
 	case errors.Is(err, ErrUnknownJob):
+		s.log.Debug("submission rejected", "job", id, "status", status, "err", cause)
 		s.writeError(w, status, cause)
 	case err != nil:
 		s.writeUnavailable(w, err)
@@ -250,6 +257,12 @@
 	return body, err
 }
 
+// isTooLarge reports whether readBody failed because the body exceeds the limit.
+func isTooLarge(err error) bool {
+	var tooLarge *http.MaxBytesError
+	return errors.As(err, &tooLarge)
+}
+
 // retryAfter is the Retry-After of a response if the node cannot serve the request.
 const retryAfter = time.Second
 
