One place decides what users are told about a job, and guards what it acknowledged

controller.userAnswers is the only source of a job's state, of "unknown", and so of each permanent rejection. It remembers the last 8,192 jobs that this node has acknowledged: if one is not found later, the user gets 503, the node logs an error with the request and the source, and status counts a contradiction. Each simulated cluster of the tests fails on one. A request that began before the acknowledgement contradicts nothing.

Also what the incident lacked: status has counts of answers, of jobs whose polls fail and of lookups; a job whose polls have failed for 30 s is logged with the error of each step, at most every 30 s; 404, 400 and 422 are logged at debug with their source.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -87,6 +87,8 @@
 	// resignations delivers to the election the resignations of other leaders.
 	resignations chan election.Resignation
 	machineTypes machineTypeCache
+	// answers decides what users are told about jobs.
+	answers *userAnswers
 	// unready makes the health check fail, so that users are routed to other nodes.
 	unready atomic.Bool
 
@@ -142,6 +144,7 @@
 		records:       records.NewRecords(cfg.UserStore, site.State),
 		mailbox:       make(chan message, mailboxCapacity),
 		ended:         make(chan struct{}),
+		answers:       newUserAnswers(cfg.Log),
 		stepDowns:     make(chan uint64, electionQueueCapacity),
 		resignations:  make(chan election.Resignation, electionQueueCapacity),
 		uplink:        newRelayUplink(site.Limits),
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -61,6 +61,11 @@
 	tokensPerTerm uint64
 	// late delivers copies of messages of the nodes that are started; nil if there are none.
 	late *lateMessages
+	// wantContradictions is how often each node is to contradict an acknowledgement of its own.
+	wantContradictions int64
+	// controllers are the processes of nodes that were started.
+	controllersMu sync.Mutex
+	controllers   []*Controller
 	// ctx is cancelled at the end of the test, which stops all nodes.
 	ctx context.Context
 	// nodeGoroutines counts the goroutines of the nodes, which run until the node crashes or ctx is
@@ -123,10 +128,26 @@
 			w.late.goroutines.Wait()
 		}
 		time.Sleep(maxRequestDuration)
+		w.checkAnswers()
 	})
 	return w
 }
 
+func (w *simulatedCluster) addController(c *Controller) {
+	w.controllersMu.Lock()
+	defer w.controllersMu.Unlock()
+	w.controllers = append(w.controllers, c)
+}
+
+// checkAnswers checks that no node failed to find a job that it had acknowledged.
+func (w *simulatedCluster) checkAnswers() {
+	for _, c := range w.controllers {
+		if count := c.answers.counts.contradictions.Load(); count != w.wantContradictions {
+			w.t.Errorf("%s: got %d contradictions, want %d", c.Settings.Node, count, w.wantContradictions)
+		}
+	}
+}
+
 // gate is one node's connection to the key-value store. While it is closed, the store is
 // unreachable for that node alone.
 type gate struct {
@@ -264,6 +285,7 @@
 	}
 	w.addLateMessages(&nodeConfig)
 	c := New(nodeConfig)
+	w.addController(c)
 	elector := &election.Elector{
 		Node:          name,
 		Incarnation:   fmt.Sprint(time.Now().UnixNano()),
--- a/internal/controller/polls.go
+++ b/internal/controller/polls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"example.org/ivytrestle/internal/api"
@@ -15,37 +16,49 @@
 	pollLookupTimeout = 600 * time.Millisecond
 )
 
-// Job implements api.Backend. A node that cannot respond from its memory queries the leader, then
-// reads the store, and then queries the other nodes that reach the store.
+// Job implements api.Backend.
 func (c *Controller) Job(ctx context.Context, id string) (api.JobState, error) {
+	answer := c.answers.begin(pollRequest, id)
+	state, source, err := c.findJob(ctx, id)
+	return answer.decide(source, state, err)
+}
+
+// findJob returns a job's state and where it was found. A node that cannot respond from its memory
+// queries the leader, then reads the store, and then queries the other nodes that reach the store. If
+// all fail, the error has those of all steps.
+func (c *Controller) findJob(ctx context.Context, id string) (api.JobState, answerSource, error) {
 	reply, err := c.poll(ctx, id)
 	if err != nil {
-		return api.JobState{}, err
+		return api.JobState{}, fromMemory, err
 	}
 	if reply.answered {
-		return reply.state, nil
+		return reply.state, fromMemory, nil
 	}
+	failures := []error{api.ErrUnavailable}
 	if reply.leader != "" && c.Peers != nil {
-		if st, err := c.queryPeer(ctx, reply.leader, id); isConclusive(err) {
-			return st, err
+		state, err := c.queryPeer(ctx, reply.leader, id)
+		if isConclusive(err) {
+			return state, fromLeader, err
 		}
+		failures = append(failures, fmt.Errorf("leader %s: %w", reply.leader, err))
 	}
-	err = api.ErrUnavailable
 	if !reply.kvUnreachable {
 		lookupCtx, cancel := context.WithTimeout(ctx, pollLookupTimeout)
-		st, lookupErr := c.lookup(lookupCtx, id)
+		state, err := c.lookup(lookupCtx, id)
 		cancel()
-		if isConclusive(lookupErr) {
-			return st, lookupErr
+		if isConclusive(err) {
+			return state, fromStore, err
 		}
-		err = lookupErr
+		failures = append(failures, fmt.Errorf("store: %w", err))
 	}
 	for _, node := range reply.otherNodes {
-		if st, err := c.queryPeer(ctx, node, id); isConclusive(err) {
-			return st, err
+		state, err := c.queryPeer(ctx, node, id)
+		if isConclusive(err) {
+			return state, fromPeer, err
 		}
+		failures = append(failures, fmt.Errorf("node %s: %w", node, err))
 	}
-	return api.JobState{}, err
+	return api.JobState{}, "", errors.Join(failures...)
 }
 
 // isConclusive reports whether a query that returned err has found the job's state, or has found that
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -14,6 +14,7 @@
 type Status struct {
 	Node    string        `json:"node"`
 	Leader  string        `json:"leader"`
+	Answers AnswerStatus  `json:"answers"`
 	Leading *LeaderStatus `json:"leading,omitempty"`
 }
 
@@ -131,7 +132,7 @@
 type statusMsg struct{ reply chan Status }
 
 func (m statusMsg) apply(c *Controller) {
-	s := Status{Node: c.Settings.Node, Leader: c.leader}
+	s := Status{Node: c.Settings.Node, Leader: c.leader, Answers: c.answerStatus()}
 	if c.leaderTerm != nil {
 		s.Leading = c.leaderTerm.status(time.Now())
 	}
--- a/internal/controller/storedjobs.go
+++ b/internal/controller/storedjobs.go
@@ -9,7 +9,9 @@
 
 // RecordedJob implements api.Backend. It reads the job from the store.
 func (c *Controller) RecordedJob(ctx context.Context, id string) (api.JobState, error) {
-	return c.lookup(ctx, id)
+	answer := c.answers.begin(repeatRequest, id)
+	state, err := c.lookup(ctx, id)
+	return answer.decide(fromStore, state, err)
 }
 
 // finalStateMsg carries a job's final state that this node has read or written. The leader's memory
--- a/internal/controller/submissions.go
+++ b/internal/controller/submissions.go
@@ -15,6 +15,17 @@
 // Submit implements api.Backend. It rejects jobs that can never run, and writes the active record of
 // the others.
 func (c *Controller) Submit(ctx context.Context, spec *api.JobSpec) (api.JobState, bool, error) {
+	answer := c.answers.begin(submitRequest, spec.ID)
+	state, created, err := c.accept(ctx, spec)
+	if created && answer.acknowledged {
+		answer.contradicted(fromStore) // its records were lost
+	}
+	state, err = answer.decide(fromStore, state, err)
+	return state, created, err
+}
+
+// accept writes the active record of a job that can run.
+func (c *Controller) accept(ctx context.Context, spec *api.JobSpec) (api.JobState, bool, error) {
 	types := c.machineTypes.load()
 	if types == nil {
 		return api.JobState{}, false, api.ErrUnavailable
@@ -75,12 +86,13 @@
 
 // Cancel implements api.Backend. It writes the cancellation to the store, whichever node leads.
 func (c *Controller) Cancel(ctx context.Context, id string) (api.JobState, error) {
-	st, found, err := c.records.Cancel(ctx, id)
-	if err != nil {
-		return st, err
-	}
-	if !found {
-		return st, api.ErrUnknownJob
+	answer := c.answers.begin(cancelRequest, id)
+	state, found, err := c.records.Cancel(ctx, id)
+	switch {
+	case err == nil && !found:
+		err = api.ErrUnknownJob
+	case err == nil:
+		err = c.publishFinalState(ctx, state)
 	}
-	return st, c.publishFinalState(ctx, st)
+	return answer.decide(fromStore, state, err)
 }
--- /dev/null
+++ b/internal/controller/useranswers.go
@@ -0,0 +1,224 @@
+package controller
+
+import (
+	"errors"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"example.org/ivytrestle/internal/api"
+)
+
+// userRequest is the kind of a user's request about a job.
+type userRequest string
+
+// The kinds of requests whose answers userAnswers decides.
+const (
+	submitRequest userRequest = "submit"
+	// repeatRequest is a submission that is to be rejected unless its job is known.
+	repeatRequest userRequest = "repeat"
+	pollRequest   userRequest = "poll"
+	cancelRequest userRequest = "cancel"
+)
+
+// answerSource is where the answer to a request was found.
+type answerSource string
+
+// The sources of answers.
+const (
+	fromMemory answerSource = "memory"
+	fromLeader answerSource = "leader"
+	fromStore  answerSource = "store"
+	fromPeer   answerSource = "peer"
+)
+
+// userAnswers decides what the users of this node are told about jobs. It is the only source of a
+// job's state, of "unknown", and so of every permanent rejection, which requires that the job is
+// unknown. It remembers the jobs that this node has acknowledged: none of them may be called unknown
+// later. Methods may be called by any goroutine.
+type userAnswers struct {
+	log *slog.Logger
+	// acknowledged holds the last jobs that this node has called accepted, in whatever state.
+	acknowledged *lru.Cache[string, struct{}]
+	counts       answerCounters
+
+	mu sync.Mutex
+	// failing holds the jobs whose last poll failed.
+	failing *lru.Cache[string, *failingPolls]
+}
+
+// failingPolls describes the failed polls of a job since the last one that was answered.
+type failingPolls struct {
+	since, loggedAt time.Time
+	count           int
+}
+
+// answerCounters counts the answers since the process began.
+type answerCounters struct {
+	answered, unknown, rejected, unavailable, contradictions atomic.Int64
+}
+
+const (
+	// maxAcknowledgedJobs and maxFailingJobs bound the memory of userAnswers.
+	maxAcknowledgedJobs = 8192
+	maxFailingJobs      = 512
+	// failingPollsLogInterval is for how long polls of a job must fail to be logged, and the time
+	// between two log lines about that job.
+	failingPollsLogInterval = 30 * time.Second
+)
+
+func newUserAnswers(log *slog.Logger) *userAnswers {
+	acknowledged, err := lru.New[string, struct{}](maxAcknowledgedJobs)
+	if err != nil {
+		panic(err) // lru.New fails only for a size that is not positive
+	}
+	failing, err := lru.New[string, *failingPolls](maxFailingJobs)
+	if err != nil {
+		panic(err)
+	}
+	return &userAnswers{log: log, acknowledged: acknowledged, failing: failing}
+}
+
+// pendingAnswer is a request that has not been answered yet.
+type pendingAnswer struct {
+	answers *userAnswers
+	request userRequest
+	id      string
+	// acknowledged is set if the job had been called accepted when the request arrived.
+	acknowledged bool
+}
+
+// begin notes the arrival of a request. It must be called before anything is read for the answer.
+func (a *userAnswers) begin(request userRequest, id string) pendingAnswer {
+	return pendingAnswer{answers: a, request: request, id: id, acknowledged: a.acknowledged.Contains(id)}
+}
+
+// decide returns the answer to a request about a job, whose state or error was found at a source. If
+// a job that this node has acknowledged was not found, it returns api.ErrUnavailable.
+func (p pendingAnswer) decide(source answerSource, state api.JobState, err error) (api.JobState, error) {
+	a := p.answers
+	switch {
+	case err == nil:
+		a.acknowledged.Add(p.id, struct{}{})
+		a.counts.answered.Add(1)
+		a.pollAnswered(p.id)
+	case errors.Is(err, api.ErrUnknownJob):
+		return state, p.decideUnknown(source, err)
+	case !isUnschedulable(err): // else the job is yet to be looked up, as repeatRequest
+		a.counts.unavailable.Add(1)
+		p.pollFailed(err)
+	}
+	return state, err
+}
+
+// decideUnknown returns the error of a request for a job that was not found.
+func (p pendingAnswer) decideUnknown(source answerSource, err error) error {
+	a := p.answers
+	if p.acknowledged {
+		p.contradicted(source)
+		return api.ErrUnavailable
+	}
+	if p.request == repeatRequest {
+		a.counts.rejected.Add(1)
+	} else {
+		a.counts.unknown.Add(1)
+	}
+	a.log.Debug("job unknown", "job", p.id, "request", p.request, "source", source)
+	return err
+}
+
+// contradicted notes that a job which this node has acknowledged was not found.
+func (p pendingAnswer) contradicted(source answerSource) {
+	p.answers.counts.contradictions.Add(1)
+	p.answers.log.Error("acknowledged job not found", "job", p.id, "request", p.request, "source", source)
+}
+
+func isUnschedulable(err error) bool {
+	var unschedulable *api.UnschedulableError
+	return errors.As(err, &unschedulable)
+}
+
+// pollAnswered notes that a question about a job was answered.
+func (a *userAnswers) pollAnswered(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.failing.Len() > 0 {
+		a.failing.Remove(id)
+	}
+}
+
+// pollFailed notes a failed poll, and logs a job whose polls have failed for failingPollsLogInterval.
+func (p pendingAnswer) pollFailed(err error) {
+	if p.request != pollRequest {
+		return
+	}
+	a := p.answers
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	polls, ok := a.failing.Get(p.id)
+	if !ok {
+		polls = &failingPolls{since: now, loggedAt: now}
+		a.failing.Add(p.id, polls)
+	}
+	polls.count++
+	if now.Sub(polls.loggedAt) < failingPollsLogInterval {
+		return
+	}
+	polls.loggedAt = now
+	a.log.Info("polls of a job keep failing", "job", p.id, "count", polls.count, "since", polls.since,
+		"acknowledged", p.acknowledged, "err", err)
+}
+
+// AnswerStatus is the part of a node's status about the answers that its users got since the process
+// began. Its JSON names must not change.
+type AnswerStatus struct {
+	Answered int64 `json:"answered"`
+	// Unknown counts polls and cancellations of jobs that were never accepted, and Rejected the
+	// submissions that were rejected for good although they named a job.
+	Unknown  int64 `json:"unknown"`
+	Rejected int64 `json:"rejected"`
+	// Unavailable counts requests that were to be repeated.
+	Unavailable int64 `json:"unavailable"`
+	// Contradictions counts requests for acknowledged jobs that were not found. It must be 0.
+	Contradictions int64 `json:"contradictions"`
+	// FailingJobs is the number of jobs whose last poll failed.
+	FailingJobs int          `json:"failing_jobs"`
+	Lookups     LookupStatus `json:"lookups"`
+}
+
+// LookupStatus is the state of the lookups in the store for users' requests. Dropped lookups were not
+// started before the requests that waited for them had timed out.
+type LookupStatus struct {
+	Running   int   `json:"running"`
+	Queued    int   `json:"queued"`
+	Completed int64 `json:"completed"`
+	Failed    int64 `json:"failed"`
+	Dropped   int64 `json:"dropped"`
+}
+
+// answerStatus returns the part of the status about users' answers. Only the owner may call it.
+func (c *Controller) answerStatus() AnswerStatus {
+	counts := &c.answers.counts
+	c.answers.mu.Lock()
+	failing := c.answers.failing.Len()
+	c.answers.mu.Unlock()
+	return AnswerStatus{
+		Answered:       counts.answered.Load(),
+		Unknown:        counts.unknown.Load(),
+		Rejected:       counts.rejected.Load(),
+		Unavailable:    counts.unavailable.Load(),
+		Contradictions: counts.contradictions.Load(),
+		FailingJobs:    failing,
+		Lookups: LookupStatus{
+			Running:   c.lookups.running,
+			Queued:    len(c.lookups.queue),
+			Completed: c.lookups.counts.completed,
+			Failed:    c.lookups.counts.failed,
+			Dropped:   c.lookups.counts.dropped,
+		},
+	}
+}
--- a/internal/kv/kv_test.go
+++ b/internal/kv/kv_test.go
@@ -103,6 +103,23 @@
 	}
 }
 
+// A response without a body says nothing about a key, a range or a transaction: a store that has no
+// such key sends its revision. Taken for an answer, it makes an accepted job unknown.
+func TestEmptyResponseIsNotAnAnswer(t *testing.T) {
+	for _, status := range []int{200, 404} {
+		if _, err := newTestClient(&fakeTransport{status: status}).Get(t.Context(), "a/job-1"); err == nil {
+			t.Errorf("get, status %d: got no error, want one", status)
+		}
+	}
+	client := newTestClient(&fakeTransport{status: 200})
+	if _, err := client.Range(t.Context(), "a/", "", 500); err == nil {
+		t.Error("range: got no error, want one")
+	}
+	if _, err := client.Txn(t.Context(), Txn{Ops: []Op{{Put: "a", Value: 1}}}); err == nil {
+		t.Error("transaction: got no error, want one")
+	}
+}
+
 func TestRenewExpiredLease(t *testing.T) {
 	err := newTestClient(&fakeTransport{status: 404}).RenewLease(t.Context(), 7)
 	if !errors.Is(err, ErrNoLease) {
