Load tests: the process of a controller has a package of its own

localprocess starts, ends and pauses controllers on the loopback interface and gives out addresses. It was part of cellsload; the soak test needs it as well.

--- a/internal/loadtest/cellsload/faults.go
+++ b/internal/loadtest/cellsload/faults.go
@@ -57,10 +57,10 @@
 	tb.mu.Lock()
 	tb.kills++
 	tb.mu.Unlock()
-	tb.logf("kill %s for %v", p.name, downtime)
-	p.kill()
+	tb.logf("kill %s for %v", p.Name, downtime)
+	p.Kill()
 	time.Sleep(downtime)
-	if err := p.start(f.cli.Binary); err != nil {
+	if err := p.Start(f.cli.Binary); err != nil {
 		fmt.Fprintln(os.Stderr, "cellsload:", err)
 	}
 }
--- a/internal/loadtest/cellsload/http.go
+++ b/internal/loadtest/cellsload/http.go
@@ -4,16 +4,9 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 )
 
-// listen listens on a free loopback port.
-func listen() (net.Listener, error) {
-	var config net.ListenConfig
-	return config.Listen(context.Background(), "tcp", "127.0.0.1:0")
-}
-
 // get sends a GET request, which is bounded by the client's timeout.
 func get(client *http.Client, url string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url, nil)
--- a/internal/loadtest/cellsload/link.go
+++ b/internal/loadtest/cellsload/link.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"example.org/ivytrestle/internal/loadtest/localprocess"
 )
 
 const linkDialTimeout = time.Second
@@ -23,7 +25,7 @@
 }
 
 func newLink(from, to, target string) (*link, error) {
-	ln, err := listen()
+	ln, err := localprocess.Listen()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/loadtest/cellsload/machine.go
+++ b/internal/loadtest/cellsload/machine.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/loadtest/localprocess"
 )
 
 const (
@@ -37,7 +38,7 @@
 }
 
 func newMachine(c *cell, name string) (*machine, error) {
-	ln, err := listen()
+	ln, err := localprocess.Listen()
 	if err != nil {
 		return nil, err
 	}
@@ -120,7 +121,7 @@
 		m.useNextNode()
 		return
 	}
-	leader := slices.IndexFunc(m.cell.nodes, func(p *process) bool { return p.name == redirect.Leader })
+	leader := slices.IndexFunc(m.cell.nodes, func(p *process) bool { return p.Name == redirect.Leader })
 	if leader < 0 || leader == m.nodeIndex {
 		m.useNextNode()
 		return
--- a/internal/loadtest/cellsload/result.go
+++ b/internal/loadtest/cellsload/result.go
@@ -80,7 +80,7 @@
 	r.loans, r.reclaimed = tb.countLogLines(loanLogText), tb.countLogLines(reclaimLogText)
 	for _, c := range tb.cells {
 		for _, p := range c.nodes {
-			r.unexpectedExits += p.unexpectedExits.Load()
+			r.unexpectedExits += p.UnexpectedExits()
 		}
 	}
 	for _, problem := range l.problems {
@@ -129,7 +129,7 @@
 func (tb *testbed) countLogLines(text string) (count int) {
 	for _, c := range tb.cells {
 		for _, p := range c.nodes {
-			raw, err := os.ReadFile(p.logPath)
+			raw, err := os.ReadFile(p.LogPath)
 			if err != nil {
 				continue
 			}
--- a/internal/loadtest/cellsload/takeover.go
+++ b/internal/loadtest/cellsload/takeover.go
@@ -91,9 +91,9 @@
 	}
 	term, ended := tb.ledger.latestTerm(), time.Now()
 	if c.Graceful {
-		leader.stop()
+		leader.Stop()
 	} else {
-		leader.kill()
+		leader.Kill()
 	}
 	var firstResponse, firstStart time.Time
 	for firstStart.IsZero() {
@@ -104,7 +104,7 @@
 		firstResponse, firstStart = tb.ledger.firstAfter(term)
 	}
 	time.Sleep(max(0, c.Away-time.Since(ended)))
-	if err := leader.start(c.Binary); err != nil {
+	if err := leader.Start(c.Binary); err != nil {
 		return 0, 0, err
 	}
 	time.Sleep(rejoinTime)
--- a/internal/loadtest/cellsload/testbed.go
+++ b/internal/loadtest/cellsload/testbed.go
@@ -14,6 +14,7 @@
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/config"
 	"example.org/ivytrestle/internal/loadtest"
+	"example.org/ivytrestle/internal/loadtest/localprocess"
 )
 
 const (
@@ -45,8 +46,6 @@
 	users   sync.WaitGroup
 	stop    chan struct{}
 	closers []io.Closer
-	// portCount counts the addresses given to controllers.
-	portCount int
 
 	mu   sync.Mutex
 	jobs []*userJob
@@ -66,24 +65,11 @@
 	machines []*machine
 }
 
-// loopbackHost returns a loopback address that depends on the process ID and that the system does
-// not assign to listeners and connections. A controller's port must be free again when the
-// controller is restarted. Otherwise a simulated machine can get the port of a stopped controller,
-// which has happened: machines accept any request, so users considered their jobs accepted and
-// other machines sent their heartbeats there.
-func loopbackHost() string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.1", 1+pid>>8&0x7f, pid&0xff)
-}
-
-// firstPort is the base of the controllers' ports. They are outside the range from which the system
-// assigns ports to listeners and connections.
-const firstPort = 20000
-
-// nextAddr returns an address that is not used by any other controller.
-func (tb *testbed) nextAddr() string {
-	tb.portCount++
-	return fmt.Sprintf("%s:%d", loopbackHost(), firstPort+tb.portCount)
+// process is a controller of a cell.
+type process struct {
+	localprocess.Process
+	// apiAddr is the controller's address for users and machines, cellsAddr that for other cells.
+	apiAddr, cellsAddr string
 }
 
 func newTestbed(c *cli, dir string) (*testbed, error) {
@@ -100,7 +86,7 @@
 			return nil, err
 		}
 		for _, p := range cell.nodes {
-			if err := p.start(c.Binary); err != nil {
+			if err := p.Start(c.Binary); err != nil {
 				return nil, err
 			}
 		}
@@ -115,9 +101,9 @@
 	c := &cell{testbed: tb, name: name}
 	for i := range controllersPerCell {
 		c.nodes = append(c.nodes, &process{
-			name:      fmt.Sprintf("%s-n%d", name, i),
-			apiAddr:   tb.nextAddr(),
-			cellsAddr: tb.nextAddr(),
+			Process:   localprocess.Process{Name: fmt.Sprintf("%s-n%d", name, i)},
+			apiAddr:   localprocess.NextAddr(),
+			cellsAddr: localprocess.NextAddr(),
 		})
 	}
 	for i := range machines {
@@ -149,7 +135,7 @@
 	services := config.Services{Cloud: env.CloudAddr, State: env.KVAddr}
 	peerAddrs := map[string]string{}
 	for _, p := range cell.nodes {
-		peerAddrs[p.name] = tb.nextAddr()
+		peerAddrs[p.Name] = localprocess.NextAddr()
 	}
 	policyFile := filepath.Join(dir, "policy.star")
 	if err := os.WriteFile(policyFile, []byte(lendingPolicy), 0o644); err != nil {
@@ -168,13 +154,13 @@
 		if err != nil {
 			return err
 		}
-		path := filepath.Join(dir, p.name+".json")
+		path := filepath.Join(dir, p.Name+".json")
 		if err := os.WriteFile(path, raw, 0o644); err != nil {
 			return err
 		}
-		p.args = append(append([]string{}, commonArgs...), c.Extra...)
-		p.args = append(p.args, "--config", path)
-		p.logPath = filepath.Join(dir, p.name+".log")
+		p.Args = append(append([]string{}, commonArgs...), c.Extra...)
+		p.Args = append(p.Args, "--config", path)
+		p.LogPath = filepath.Join(dir, p.Name+".log")
 	}
 	return nil
 }
@@ -182,10 +168,10 @@
 // settings returns the settings of one of the cell's controllers.
 func (c *cell) settings(p *process, services config.Services, peerAddrs map[string]string) config.Settings {
 	s := config.Settings{
-		Node:       p.name,
+		Node:       p.Name,
 		Zone:       zone,
 		APIAddr:    p.apiAddr,
-		PeerListen: peerAddrs[p.name],
+		PeerListen: peerAddrs[p.Name],
 		Services:   services,
 		Site: config.SiteInfo{
 			Nodes: controllersPerCell,
@@ -206,7 +192,7 @@
 	}
 	for _, other := range c.nodes {
 		if other != p {
-			s.Peers = append(s.Peers, config.Peer{Node: other.name, Zone: zone, Addr: peerAddrs[other.name]})
+			s.Peers = append(s.Peers, config.Peer{Node: other.Name, Zone: zone, Addr: peerAddrs[other.Name]})
 		}
 	}
 	return s
@@ -218,7 +204,7 @@
 	var text strings.Builder
 	fmt.Fprintf(&text, "cell = %q\n[listen]\n", cell.name)
 	for _, p := range cell.nodes {
-		fmt.Fprintf(&text, "%s = %q\n", p.name, p.cellsAddr)
+		fmt.Fprintf(&text, "%s = %q\n", p.Name, p.cellsAddr)
 	}
 	for _, other := range tb.cells {
 		if other == cell {
@@ -279,7 +265,7 @@
 	close(tb.stop)
 	for _, c := range tb.cells {
 		for _, p := range c.nodes {
-			p.kill()
+			p.Kill()
 		}
 	}
 	for _, c := range tb.closers {
