--- a/internal/loadtest/environment.go
+++ b/internal/loadtest/environment.go
@@ -81,7 +81,7 @@
 func New(machineType api.MachineType) (*Environment, error) {
 	env := &Environment{}
 	var err error
-	if env.KVAddr, err = serve(kvHandler(kvtest.New())); err != nil {
+	if env.KVAddr, err = serve(KVHandler(kvtest.New())); err != nil {
 		return nil, err
 	}
 	env.CloudAddr, err = serve(cloudHandler(machineType))
--- a/internal/loadtest/kvserver.go
+++ b/internal/loadtest/kvserver.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,8 +12,8 @@
 	"example.org/ivytrestle/internal/kv/kvtest"
 )
 
-// kvHandler serves the HTTP protocol of the key-value store from an in-memory fake.
-func kvHandler(fake *kvtest.Fake) http.Handler {
+// KVHandler serves the HTTP protocol of the key-value store from an in-memory fake.
+func KVHandler(fake *kvtest.Fake) http.Handler {
 	s := kvServer{fake: fake}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv/{key...}", s.get)
@@ -24,13 +25,21 @@
 	return mux
 }
 
-// kvServer handles a controller's requests to the key-value store. No faults are injected into the
-// fake store here, so get, list and grantLease ignore its errors, which only faults cause. Errors of
-// parsing numbers are ignored too: the controller's client formats them.
+// kvServer handles a controller's requests to the key-value store. Errors of parsing numbers are
+// ignored: the controller's client formats them.
 type kvServer struct{ fake *kvtest.Fake }
 
+// writeOutage writes the response during an outage of the fake store.
+func writeOutage(w http.ResponseWriter) {
+	writeJSON(w, http.StatusServiceUnavailable, map[string]string{"error": "outage"})
+}
+
 func (s kvServer) get(w http.ResponseWriter, r *http.Request) {
-	entry, _ := s.fake.Get(r.Context(), r.PathValue("key"))
+	entry, err := s.fake.Get(r.Context(), r.PathValue("key"))
+	if err != nil {
+		writeOutage(w)
+		return
+	}
 	if entry.ModRevision == 0 {
 		writeJSON(w, http.StatusNotFound, map[string]int{"Ring": 1})
 		return
@@ -41,7 +50,11 @@
 func (s kvServer) list(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	limit, _ := strconv.Atoi(query.Get("Most"))
-	page, _ := s.fake.Range(r.Context(), query.Get("Prefix"), query.Get("From"), max(limit, 1))
+	page, err := s.fake.Range(r.Context(), query.Get("Prefix"), query.Get("From"), max(limit, 1))
+	if err != nil {
+		writeOutage(w)
+		return
+	}
 	writeJSON(w, http.StatusOK, page)
 }
 
@@ -53,6 +66,8 @@
 	}
 	result, err := s.fake.Txn(r.Context(), txn)
 	switch {
+	case errors.Is(err, kv.ErrNotApplied):
+		writeOutage(w)
 	case err != nil:
 		writeJSON(w, http.StatusBadRequest, map[string]string{"error": "no such lease"})
 	case result.Succeeded:
@@ -70,17 +85,24 @@
 		writeJSON(w, http.StatusBadRequest, map[string]string{"error": err.Error()})
 		return
 	}
-	id, _ := s.fake.GrantLease(r.Context(), time.Duration(request.TTLMillis)*time.Millisecond)
+	id, err := s.fake.GrantLease(r.Context(), time.Duration(request.TTLMillis)*time.Millisecond)
+	if err != nil {
+		writeOutage(w)
+		return
+	}
 	writeJSON(w, http.StatusOK, map[string]uint64{"Tenure": id})
 }
 
 func (s kvServer) renewLease(w http.ResponseWriter, r *http.Request) {
 	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
-	if s.fake.RenewLease(r.Context(), id) != nil {
+	switch err := s.fake.RenewLease(r.Context(), id); {
+	case errors.Is(err, kv.ErrNotApplied):
+		writeOutage(w)
+	case err != nil:
 		writeJSON(w, http.StatusNotFound, map[string]int{})
-		return
+	default:
+		writeJSON(w, http.StatusOK, map[string]int{})
 	}
-	writeJSON(w, http.StatusOK, map[string]int{})
 }
 
 func (s kvServer) watch(w http.ResponseWriter, r *http.Request) {
--- a/internal/loadtest/launchingcloud.go
+++ b/internal/loadtest/launchingcloud.go
@@ -45,7 +45,7 @@
 func NewLaunching(machineType api.MachineType, maxMachines int, plan Plan) (*Environment, error) {
 	env := &Environment{plan: plan}
 	var err error
-	if env.KVAddr, err = serve(kvHandler(kvtest.New())); err != nil {
+	if env.KVAddr, err = serve(KVHandler(kvtest.New())); err != nil {
 		return nil, err
 	}
 	cloud := &launchingCloud{
--- a/internal/loadtest/submission.go
+++ b/internal/loadtest/submission.go
@@ -2,11 +2,12 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"time"
 )
 
-// Submission is a job that a simulated user submits. Its tasks are identical and may run on any
-// machine.
+// Submission is a job that a simulated user submits. Its tasks are identical. Unless it says otherwise,
+// they may run on any machine.
 type Submission struct {
 	ID       string
 	Team     string
@@ -16,11 +17,20 @@
 	ImageGB  float64
 	Estimate time.Duration
 	Deadline time.Duration
+	// Types and Zone restrict the machines, if set. OneZone and Spread restrict the zones of the tasks
+	// that run at the same time, and NoSpot keeps them off spot machines.
+	Types                   []string
+	Zone                    string
+	OneZone, Spread, NoSpot bool
 }
 
 // Body returns the JSON body of the submission request.
-func (s *Submission) Body() []byte {
-	body, err := json.Marshal(map[string]any{
+func (s *Submission) Body() []byte { return s.BodyWith(nil) }
+
+// BodyWith returns the JSON body of the submission request with some fields changed, by their names on
+// the wire.
+func (s *Submission) BodyWith(changes map[string]any) []byte {
+	fields := map[string]any{
 		"NameId":     s.ID,
 		"Jobclass":   "c",
 		"Owner":      s.Team,
@@ -32,14 +42,20 @@
 		"MemoryGb":   1.0,
 		"Rootstock":  s.Image,
 		"PullGb":     s.ImageGB,
-		"SamePlace":  false,
-		"Scatter":    false,
-		"Windfall":   true,
+		"Frames":     s.Types,
+		"SamePlace":  s.OneZone,
+		"Scatter":    s.Spread,
+		"Windfall":   !s.NoSpot,
 		"ExpectS":    s.Estimate.Seconds(),
 		"GraftS":     0.0,
 		"PressS":     0.0,
 		"DueS":       s.Deadline.Seconds(),
-	})
+	}
+	if s.Zone != "" {
+		fields["Bed"] = s.Zone
+	}
+	maps.Copy(fields, changes)
+	body, err := json.Marshal(fields)
 	if err != nil {
 		panic(err) // strings, numbers and booleans always encode
 	}
