Fix: users of a node that does not lead get the leader's answers while the store is slow

Cause: the same budget as that of the lookups. A node gave up the leader's answer after half a second, which the confirmation of the leader's memory takes alone then, and read the store itself: one read for each poll, where one confirmation serves all polls of the leader. The leader's answer came and was thrown away.

Change: a step of a poll that is slow goes on beside the next one; the first conclusive answer counts. No request more than before.

--- a/internal/controller/polloverload_test.go
+++ b/internal/controller/polloverload_test.go
@@ -26,23 +26,25 @@
 // storeConnections is how many connections kv.Client opens for requests.
 const storeConnections = 12
 
-// slowStore is a node's access to the store for users' requests: reads take readTime, and their rate
-// and number at a time are limited like those of kv.Client.
+// slowStore is a node's access to a slow store: reads and transactions take readTime. The rate of reads
+// and the number of requests at a time are limited like those of kv.Client.
 type slowStore struct {
 	*kvtest.Fake
 	readLimiter *rate.Limiter
 	connections chan struct{}
-	readTime    time.Duration
+	// readTime is a time.Duration.
+	readTime atomic.Int64
 }
 
 // newSlowStore returns an access to a store with a limit on the reads per second.
 func newSlowStore(fake *kvtest.Fake, readsPerS int, readTime time.Duration) *slowStore {
-	return &slowStore{
+	s := &slowStore{
 		Fake:        fake,
 		readLimiter: rate.NewLimiter(rate.Limit(readsPerS), readsPerS),
 		connections: make(chan struct{}, storeConnections),
-		readTime:    readTime,
 	}
+	s.readTime.Store(int64(readTime))
+	return s
 }
 
 // Get reads one key after readTime, within the rate limit and the deadline of ctx.
@@ -50,18 +52,38 @@
 	if err := s.readLimiter.Wait(ctx); err != nil {
 		return kv.Entry{}, fmt.Errorf("%w: %w", kv.ErrNotApplied, err)
 	}
+	release, err := s.connect(ctx)
+	defer release()
+	if err != nil {
+		return kv.Entry{}, err
+	}
+	return s.Fake.Get(ctx, key)
+}
+
+// Txn applies a transaction after readTime.
+func (s *slowStore) Txn(ctx context.Context, txn kv.Txn) (kv.Result, error) {
+	release, err := s.connect(ctx)
+	defer release()
+	if err != nil {
+		return kv.Result{}, err
+	}
+	return s.Fake.Txn(ctx, txn)
+}
+
+// connect takes a connection, and waits for readTime. The caller releases the connection.
+func (s *slowStore) connect(ctx context.Context) (release func(), err error) {
 	select {
 	case <-ctx.Done():
-		return kv.Entry{}, kv.ErrNotApplied
+		return func() {}, kv.ErrNotApplied
 	case s.connections <- struct{}{}:
-		defer func() { <-s.connections }()
+		release = func() { <-s.connections }
 	}
 	select {
 	case <-ctx.Done():
-		return kv.Entry{}, kv.ErrOutcomeUnknown
-	case <-time.After(s.readTime):
+		return release, kv.ErrOutcomeUnknown
+	case <-time.After(time.Duration(s.readTime.Load())):
+		return release, nil
 	}
-	return s.Fake.Get(ctx, key)
 }
 
 // recordEndedJobs writes the terminal records of jobs that an earlier leader completed.
@@ -137,3 +159,51 @@
 		})
 	}
 }
+
+// If the store is slow, the leader confirms its memory slowly. Users of another node get the leader's
+// answers nevertheless, since that node's own reads suffice for a few of them only.
+func TestFollowerAnswersManyUsersWhileStoreIsSlow(t *testing.T) {
+	const jobs = 400
+	simulate(t, func(w *simulatedCluster) {
+		links := &peerLinks{}
+		stores := []*slowStore{newSlowStore(w.store, 48, 0), newSlowStore(w.store, 48, 0)}
+		leader := links.add("n0", w.startWith("n0", stores[0], links))
+		follower := links.add("n1", w.startWith("n1", stores[1], links))
+		for i := range jobs {
+			w.submit(leader, spec(fmt.Sprint("job-", 1000+i), 1))
+		}
+		time.Sleep(3 * time.Second)
+		for _, store := range stores {
+			store.readTime.Store(int64(550 * time.Millisecond))
+		}
+		var forgotten atomic.Int32
+		var users sync.WaitGroup
+		for i := range jobs {
+			users.Go(func() {
+				time.Sleep(userPollInterval * time.Duration(i) / jobs)
+				if !isAnswered(follower, fmt.Sprint("job-", 1000+i)) {
+					forgotten.Add(1)
+				}
+			})
+		}
+		users.Wait()
+		if count := forgotten.Load(); count > 0 {
+			w.t.Errorf("%d of %d jobs: no question answered for %v", count, jobs, forgottenAfter)
+		}
+	})
+}
+
+// isAnswered polls a job as its user does, and reports whether a poll is answered within forgottenAfter.
+func isAnswered(n *node, id string) bool {
+	for start := time.Now(); time.Since(start) < forgottenAfter; {
+		polledAt := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), userPollTimeout)
+		_, err := n.Job(ctx, id)
+		cancel()
+		if err == nil {
+			return true
+		}
+		time.Sleep(userPollInterval - time.Since(polledAt))
+	}
+	return false
+}
--- a/internal/controller/polls.go
+++ b/internal/controller/polls.go
@@ -3,17 +3,17 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"example.org/ivytrestle/internal/api"
 )
 
-// Time limits of the steps of a poll, which queries the leader, the store and the other nodes in turn
-// until one of them gives a conclusive response.
+// Times of the steps of a poll, which queries the leader, the store and the other nodes until one of
+// them gives a conclusive response. A step that has not responded after its time goes on beside the
+// next one: if the store is slow, so is the leader, and its response would still be in time.
 const (
-	peerQueryTimeout  = 500 * time.Millisecond
-	pollLookupTimeout = 600 * time.Millisecond
+	peerQueryDelay = 500 * time.Millisecond
+	lookupDelay    = 600 * time.Millisecond
 )
 
 // Job implements api.Backend.
@@ -34,46 +34,39 @@
 	if reply.answered {
 		return reply.state, fromMemory, nil
 	}
-	failures := []error{api.ErrUnavailable}
+	var steps []pollStep
 	if reply.leader != "" && c.Peers != nil {
-		state, err := c.queryPeer(ctx, reply.leader, id)
-		if isConclusive(err) {
-			return state, fromLeader, err
-		}
-		failures = append(failures, fmt.Errorf("leader %s: %w", reply.leader, err))
+		steps = append(steps, c.peerStep(fromLeader, reply.leader, id))
 	}
 	if !reply.kvUnreachable {
-		lookupCtx, cancel := context.WithTimeout(ctx, pollLookupTimeout)
-		state, err := c.lookup(lookupCtx, id)
-		cancel()
-		if isConclusive(err) {
-			return state, fromStore, err
-		}
-		failures = append(failures, fmt.Errorf("store: %w", err))
+		steps = append(steps, c.storeStep(id))
 	}
 	for _, node := range reply.otherNodes {
-		state, err := c.queryPeer(ctx, node, id)
-		if isConclusive(err) {
-			return state, fromPeer, err
-		}
-		failures = append(failures, fmt.Errorf("node %s: %w", node, err))
+		steps = append(steps, c.peerStep(fromPeer, node, id))
 	}
-	return api.JobState{}, "", errors.Join(failures...)
+	return runPollSteps(ctx, steps)
 }
 
 // isConclusive reports whether a query that returned err has found the job's state, or has found that
 // the job does not exist.
 func isConclusive(err error) bool { return err == nil || errors.Is(err, api.ErrUnknownJob) }
 
-// queryPeer requests a job's state from another node.
-func (c *Controller) queryPeer(ctx context.Context, node, id string) (api.JobState, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerQueryTimeout)
-	defer cancel()
-	st, err := c.Peers.Job(ctx, node, id)
-	if err == nil && st.Final() {
-		return st, c.publishFinalState(ctx, st)
-	}
-	return st, err
+// storeStep returns the step of a poll that reads the store.
+func (c *Controller) storeStep(id string) pollStep {
+	return pollStep{fromStore, "store", lookupDelay, func(ctx context.Context) (api.JobState, error) {
+		return c.lookup(ctx, id)
+	}}
+}
+
+// peerStep returns the step of a poll that queries another node.
+func (c *Controller) peerStep(source answerSource, node, id string) pollStep {
+	return pollStep{source, "node " + node, peerQueryDelay, func(ctx context.Context) (api.JobState, error) {
+		state, err := c.Peers.Job(ctx, node, id)
+		if err == nil && state.Final() {
+			return state, c.publishFinalState(ctx, state)
+		}
+		return state, err
+	}}
 }
 
 // PeerJob responds to another node's query: from memory if possible, otherwise from the store. It
--- a/internal/controller/readindex.go
+++ b/internal/controller/readindex.go
@@ -37,7 +37,7 @@
 	readIndexPause = 200 * time.Millisecond
 	// pollDeadlineMargin is how long before its deadline a poll is no longer deferred to another
 	// round. It leaves time for a lookup in the store.
-	pollDeadlineMargin = pollLookupTimeout + readIndexPause
+	pollDeadlineMargin = lookupDelay + readIndexPause
 )
 
 // enqueue adds a poll to the next round, and starts the round if possible.
