--- a/internal/loadtest/soak/checker.go
+++ b/internal/loadtest/soak/checker.go
@@ -314,7 +314,7 @@
 		if accepted.IsZero() {
 			continue
 		}
-		var failed []answer
+		failed := make([]answer, 0, len(c.answersOf[id]))
 		for _, a := range c.answersOf[id] {
 			switch {
 			case a.operation != opPoll || a.sent.Before(accepted):
--- a/internal/loadtest/soak/checker_test.go
+++ b/internal/loadtest/soak/checker_test.go
@@ -83,9 +83,9 @@
 	return h
 }
 
-// pollsOf adds polls of a job every five seconds, with the same status.
-func pollsOf(h *history, job string, from, to float64, status int) {
-	for s := from; s <= to; s += 5 {
+// pollsOf adds polls of a job every five seconds from second 20, with the same status.
+func pollsOf(h *history, job string, to float64, status int) {
+	for s := 20.0; s <= to; s += 5 {
 		a := told(opPoll, s, status, "")
 		if a.job = job; status == statusOK {
 			a.phase = "running"
@@ -129,12 +129,12 @@
 	}},
 	{"polls fail for 90 s while others get answers", rulePollsFail, func(h *history) {
 		h.troublesEnded, h.ended = at(300), at(310)
-		pollsOf(h, "job-1", 20, 115, 0)
-		pollsOf(h, "job-2", 20, 115, statusNotFound)
+		pollsOf(h, "job-1", 115, 0)
+		pollsOf(h, "job-2", 115, statusNotFound)
 	}},
 	{"no answer for 75 s after the troubles", ruleNotAnswered, func(h *history) {
 		h.ended = at(100)
-		pollsOf(h, "job-1", 20, 100, 503)
+		pollsOf(h, "job-1", 100, 503)
 	}},
 	{"a task that never completes", ruleNeverRan, func(h *history) {
 		h.runs[1].done = false
@@ -218,7 +218,7 @@
 	h := goodHistory()
 	h.troublesEnded, h.ended = at(300), at(310)
 	h.answers = append(h.answers, told(opPoll, 20, 503, ""), told(opPoll, 115, 503, ""))
-	pollsOf(h, "job-2", 20, 115, statusNotFound)
+	pollsOf(h, "job-2", 115, statusNotFound)
 	if violations := check(testSite, h); len(violations) > 0 {
 		t.Errorf("got %v, want none", violations)
 	}
