Load tests: cellsload and soak share the links that can be cut

The link of the soak test, with its modes, moves to localprocess; cellsload's own, which could only close connections, is gone.

--- a/internal/loadtest/cellsload/testbed.go
+++ b/internal/loadtest/cellsload/testbed.go
@@ -217,11 +217,11 @@
 				return "", err
 			}
 			tb.links = append(tb.links, l)
-			tb.closers = append(tb.closers, l.ln)
+			tb.closers = append(tb.closers, l)
 			if i > 0 {
 				text.WriteString(", ")
 			}
-			fmt.Fprintf(&text, "%q", l.ln.Addr())
+			fmt.Fprintf(&text, "%q", l.Addr)
 		}
 		text.WriteString("]\n")
 	}
--- a/internal/loadtest/soak/link.go
+++ b/internal/loadtest/localprocess/link.go
@@ -1,34 +1,31 @@
-package main
+package localprocess
 
 import (
 	"context"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"example.org/ivytrestle/internal/loadtest/localprocess"
 )
 
-// linkMode is what a link does with connections and their data.
-type linkMode int
+// LinkMode is what a link does with connections and their data.
+type LinkMode int
 
 // The modes of a link.
 const (
-	// linkOpen forwards all data.
-	linkOpen linkMode = iota
-	// linkRefused closes connections and refuses new ones.
-	linkRefused
-	// linkSilent drops all data. The connections are reset when the mode ends.
-	linkSilent
-	// linkHeld keeps all data and delivers it, in order, when the mode ends, even if the sender has
+	// Open forwards all data.
+	Open LinkMode = iota
+	// Refused closes connections and refuses new ones.
+	Refused
+	// Silent drops all data. The connections are reset when the mode ends.
+	Silent
+	// Held keeps all data and delivers it, in order, when the mode ends, even if the sender has
 	// closed the connection meanwhile.
-	linkHeld
+	Held
 )
 
 // String implements fmt.Stringer.
-func (m linkMode) String() string {
+func (m LinkMode) String() string {
 	return [...]string{"open", "refused", "silent", "held"}[m]
 }
 
@@ -37,25 +34,26 @@
 	linkBufferBytes = 16 << 10
 )
 
-// link forwards the connections of one party to the listener of another.
-type link struct {
-	addr, target string
+// Link forwards the connections of one party to the listener of another.
+type Link struct {
+	// Addr is the address of the link.
+	Addr   string
+	target string
 
 	mu       sync.Mutex
 	listener net.Listener
-	mode     linkMode
+	mode     LinkMode
 	// modeChanged is closed when the mode changes.
 	modeChanged chan struct{}
 	conns       map[net.Conn]bool
 	closed      bool
-	// affected counts the connections and pieces of data that a mode other than linkOpen affected.
-	affected atomic.Int64
+	affected    atomic.Int64
 }
 
-// newLink opens a link to an address.
-func newLink(target string) (*link, error) {
-	l := &link{
-		addr:        localprocess.NextAddr(),
+// NewLink opens a link to an address.
+func NewLink(target string) (*Link, error) {
+	l := &Link{
+		Addr:        NextAddr(),
 		target:      target,
 		modeChanged: make(chan struct{}),
 		conns:       map[net.Conn]bool{},
@@ -64,8 +62,8 @@
 }
 
 // listen opens the listener. The caller holds the lock, or has not shared the link yet.
-func (l *link) listen() error {
-	listener, err := localprocess.ListenOn(l.addr)
+func (l *Link) listen() error {
+	listener, err := ListenOn(l.Addr)
 	if err != nil {
 		return err
 	}
@@ -74,7 +72,7 @@
 	return nil
 }
 
-func (l *link) accept(listener net.Listener) {
+func (l *Link) accept(listener net.Listener) {
 	dialer := net.Dialer{Timeout: linkDialTimeout}
 	for {
 		in, err := listener.Accept()
@@ -99,10 +97,10 @@
 }
 
 // add registers the two connections of a forwarded one, unless the link refuses connections.
-func (l *link) add(in, out net.Conn) bool {
+func (l *Link) add(in, out net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.closed || l.mode == linkRefused {
+	if l.closed || l.mode == Refused {
 		l.affected.Add(1)
 		return false
 	}
@@ -111,7 +109,7 @@
 }
 
 // forward copies data from one connection to another until one of them ends, and closes both.
-func (l *link) forward(to, from net.Conn) {
+func (l *Link) forward(to, from net.Conn) {
 	buffer := make([]byte, linkBufferBytes)
 	for {
 		n, err := from.Read(buffer)
@@ -134,48 +132,48 @@
 }
 
 // awaitDelivery waits while data is held, and reports whether data is to be delivered.
-func (l *link) awaitDelivery() bool {
+func (l *Link) awaitDelivery() bool {
 	for {
 		l.mu.Lock()
 		mode, changed := l.mode, l.modeChanged
 		l.mu.Unlock()
-		if mode == linkOpen {
+		if mode == Open {
 			return true
 		}
 		l.affected.Add(1)
-		if mode != linkHeld {
+		if mode != Held {
 			return false
 		}
 		<-changed
 	}
 }
 
-// setMode changes the mode of the link.
-func (l *link) setMode(mode linkMode) {
+// SetMode changes the mode of the link.
+func (l *Link) SetMode(mode LinkMode) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
 		return
 	}
 	if mode == l.mode {
-		if mode != linkOpen {
+		if mode != Open {
 			l.affected.Add(1) // another fault has cut the link already
 		}
 		return
 	}
-	if l.mode == linkSilent || mode == linkRefused {
+	if l.mode == Silent || mode == Refused {
 		for conn := range l.conns {
 			l.affected.Add(1)
 			reset(conn)
 		}
 	}
-	if mode != linkOpen {
+	if mode != Open {
 		l.affected.Add(int64(len(l.conns)))
 	}
-	if mode == linkRefused {
+	if mode == Refused {
 		l.affected.Add(1)
 		closeQuietly(l.listener)
-	} else if l.mode == linkRefused {
+	} else if l.mode == Refused {
 		l.relisten()
 	}
 	l.mode = mode
@@ -184,7 +182,7 @@
 }
 
 // relisten opens the listener again. The port is free, but the system may still be closing it.
-func (l *link) relisten() {
+func (l *Link) relisten() {
 	const attempts = 100
 	for range attempts {
 		if l.listen() == nil {
@@ -192,19 +190,19 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	panic("link " + l.addr + ": port still in use")
+	panic("link " + l.Addr + ": port still in use")
 }
 
-// close ends the link for good.
-func (l *link) close() {
-	l.setMode(linkOpen)
+// Close ends the link for good.
+func (l *Link) Close() error {
+	l.SetMode(Open)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
-	closeQuietly(l.listener)
 	for conn := range l.conns {
 		reset(conn)
 	}
+	return l.listener.Close()
 }
 
 // reset closes a connection so that the peer's next read or write fails.
@@ -215,5 +213,5 @@
 	closeQuietly(conn)
 }
 
-// closeQuietly closes a resource that is no longer used and ignores the error, which has no effect.
-func closeQuietly(c io.Closer) { _ = c.Close() }
+// Affected returns the number of connections and pieces of data that modes other than Open have affected.
+func (l *Link) Affected() int64 { return l.affected.Load() }
--- a/internal/loadtest/soak/link_test.go
+++ b/internal/loadtest/localprocess/link_test.go
@@ -1,18 +1,16 @@
-package main
+package localprocess
 
 import (
 	"bufio"
 	"net"
 	"testing"
 	"time"
-
-	"example.org/ivytrestle/internal/loadtest/localprocess"
 )
 
 // startEcho starts a server that sends back each line, and returns a link to it.
-func startEcho(t *testing.T) *link {
+func startEcho(t *testing.T) *Link {
 	t.Helper()
-	listener, err := localprocess.Listen()
+	listener, err := Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -31,18 +29,18 @@
 			}()
 		}
 	}()
-	l, err := newLink(listener.Addr().String())
+	l, err := NewLink(listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(l.close)
+	t.Cleanup(func() { closeQuietly(l) })
 	return l
 }
 
 // dial opens a connection through a link.
-func dial(t *testing.T, l *link) net.Conn {
+func dial(t *testing.T, l *Link) net.Conn {
 	t.Helper()
-	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.addr)
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.Addr)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -75,17 +73,17 @@
 )
 
 func TestLinkForwardsAgainAfterEachMode(t *testing.T) {
-	for _, mode := range []linkMode{linkRefused, linkSilent, linkHeld} {
+	for _, mode := range []LinkMode{Refused, Silent, Held} {
 		l := startEcho(t)
 		if got := exchange(t, dial(t, l), "before", longWait); got != "before" {
 			t.Errorf("%s: got %q, want the echo", mode, got)
 		}
-		l.setMode(mode)
-		l.setMode(linkOpen)
+		l.SetMode(mode)
+		l.SetMode(Open)
 		if got := exchange(t, dial(t, l), "after", longWait); got != "after" {
 			t.Errorf("%s: got %q after the mode has ended, want the echo", mode, got)
 		}
-		if l.affected.Load() == 0 {
+		if l.Affected() == 0 {
 			t.Errorf("%s: affected nothing, want the open connection", mode)
 		}
 	}
@@ -94,11 +92,11 @@
 func TestHeldLinkDeliversLate(t *testing.T) {
 	l := startEcho(t)
 	conn := dial(t, l)
-	l.setMode(linkHeld)
+	l.SetMode(Held)
 	if got := exchange(t, conn, "held", shortWait); got != "" {
 		t.Errorf("got %q while held, want nothing", got)
 	}
-	l.setMode(linkOpen)
+	l.SetMode(Open)
 	if got := receive(conn, longWait); got != "held" {
 		t.Errorf("got %q, want what was held", got)
 	}
@@ -107,11 +105,11 @@
 func TestSilentLinkLosesDataAndResetsItsConnections(t *testing.T) {
 	l := startEcho(t)
 	conn := dial(t, l)
-	l.setMode(linkSilent)
+	l.SetMode(Silent)
 	if got := exchange(t, conn, "lost", shortWait); got != "" {
 		t.Errorf("got %q while silent, want nothing", got)
 	}
-	l.setMode(linkOpen)
+	l.SetMode(Open)
 	if got := exchange(t, conn, "more", longWait); got != "" {
 		t.Errorf("got %q, want a reset connection", got)
 	}
@@ -119,8 +117,8 @@
 
 func TestRefusedLinkRefusesConnections(t *testing.T) {
 	l := startEcho(t)
-	l.setMode(linkRefused)
-	if conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.addr); err == nil {
+	l.SetMode(Refused)
+	if conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.Addr); err == nil {
 		closeQuietly(conn)
 		t.Error("got a connection, want it refused")
 	}
--- a/internal/loadtest/soak/faults.go
+++ b/internal/loadtest/soak/faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"example.org/ivytrestle/internal/config"
+	"example.org/ivytrestle/internal/loadtest/localprocess"
 )
 
 // strikeFunc begins a fault, and returns the functions that end it and that tell how much it has
@@ -21,7 +22,7 @@
 	strike          strikeFunc
 	traits          faultTraits
 	// mode is that of the cut links, random selects targets, and size is a number or a share.
-	mode   linkMode
+	mode   localprocess.LinkMode
 	target int
 	size   float64
 
@@ -89,6 +90,9 @@
 	maxFaultGap = 4500 * time.Millisecond
 )
 
+// cutModes are the modes in which links are cut.
+var cutModes = []localprocess.LinkMode{localprocess.Refused, localprocess.Silent, localprocess.Held}
+
 // scheduleFaults returns the faults of a run, in the order in which they begin. What a fault hits may
 // depend on who leads then.
 func scheduleFaults(info config.SiteInfo, o options) ([]*fault, error) {
@@ -117,7 +121,7 @@
 			size:     kind.minSize + random.float64()*(kind.maxSize-kind.minSize),
 		}
 		if kind.traits&cuts != 0 {
-			f.mode = []linkMode{linkRefused, linkSilent, linkHeld}[random.intN(3)]
+			f.mode = cutModes[random.intN(len(cutModes))]
 			f.name += ", " + f.mode.String()
 		}
 		faults = append(faults, f)
--- a/internal/loadtest/soak/run.go
+++ b/internal/loadtest/soak/run.go
@@ -198,3 +198,6 @@
 
 // discardLog returns a logger of which nothing is kept.
 func discardLog() *log.Logger { return log.New(io.Discard, "", 0) }
+
+// closeQuietly closes a resource that is no longer used and ignores the error, which has no effect.
+func closeQuietly(c io.Closer) { _ = c.Close() }
--- a/internal/loadtest/soak/site.go
+++ b/internal/loadtest/soak/site.go
@@ -43,7 +43,7 @@
 	// tasksDone holds the references of the tasks that have completed: results are kept.
 	tasksDone sync.Map
 	servers   []*http.Server
-	links     []*link
+	links     []*localprocess.Link
 	// done is closed at the end of the run.
 	done chan struct{}
 }
@@ -55,17 +55,17 @@
 	apiAddr, peerAddr string
 	// userLink and workerLinks, by the zone of the workers, lead to the controller, storeLink, cloudLink
 	// and peerLinks, by node, from it to the others.
-	userLink, storeLink, cloudLink *link
-	workerLinks                    map[string]*link
-	peerLinks                      map[string]*link
+	userLink, storeLink, cloudLink *localprocess.Link
+	workerLinks                    map[string]*localprocess.Link
+	peerLinks                      map[string]*localprocess.Link
 
 	mu   sync.Mutex
 	down bool
 }
 
 // links returns all links to and from the controller.
-func (n *node) links() []*link {
-	all := []*link{n.userLink, n.storeLink, n.cloudLink}
+func (n *node) links() []*localprocess.Link {
+	all := []*localprocess.Link{n.userLink, n.storeLink, n.cloudLink}
 	all = slices.AppendSeq(all, maps.Values(n.workerLinks))
 	return slices.AppendSeq(all, maps.Values(n.peerLinks))
 }
@@ -148,8 +148,8 @@
 		zone:        zones[i%len(zones)],
 		apiAddr:     localprocess.NextAddr(),
 		peerAddr:    localprocess.NextAddr(),
-		workerLinks: map[string]*link{},
-		peerLinks:   map[string]*link{},
+		workerLinks: map[string]*localprocess.Link{},
+		peerLinks:   map[string]*localprocess.Link{},
 	}
 	st.nodes = append(st.nodes, n)
 	storeAddr, err := st.serve(st.store.handlerFor(n.process.Name))
@@ -177,8 +177,8 @@
 	return nil
 }
 
-func (st *site) newLink(target string) (*link, error) {
-	l, err := newLink(target)
+func (st *site) newLink(target string) (*localprocess.Link, error) {
+	l, err := localprocess.NewLink(target)
 	if err == nil {
 		st.links = append(st.links, l)
 	}
@@ -205,7 +205,7 @@
 		Zone:       n.zone,
 		APIAddr:    n.apiAddr,
 		PeerListen: n.peerAddr,
-		Services:   config.Services{Cloud: n.cloudLink.addr, State: n.storeLink.addr},
+		Services:   config.Services{Cloud: n.cloudLink.Addr, State: n.storeLink.Addr},
 		Site:       st.info,
 	}
 	for _, other := range st.nodes {
@@ -217,7 +217,7 @@
 			return err
 		}
 		n.peerLinks[other.process.Name] = l
-		peer := config.Peer{Node: other.process.Name, Zone: other.zone, Addr: l.addr}
+		peer := config.Peer{Node: other.process.Name, Zone: other.zone, Addr: l.Addr}
 		settings.Peers = append(settings.Peers, peer)
 	}
 	policy := filepath.Join(dir, "policy.star")
@@ -267,7 +267,7 @@
 	}
 	st.cloud.close()
 	for _, l := range st.links {
-		l.close()
+		closeQuietly(l)
 	}
 	for _, server := range st.servers {
 		_ = server.Close() // all its clients have ended
--- a/internal/loadtest/soak/strikes.go
+++ b/internal/loadtest/soak/strikes.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"example.org/ivytrestle/internal/loadtest/localprocess"
 )
 
 // leaderOr returns the node that leads or, if that is down or there is none, the node that the fault
@@ -112,21 +114,21 @@
 }
 
 // cut cuts links in the mode of a fault.
-func cut(f *fault, links ...*link) (end func(), affected func() int) {
+func cut(f *fault, links ...*localprocess.Link) (end func(), affected func() int) {
 	before := int64(0)
 	for _, l := range links {
-		before += l.affected.Load()
-		l.setMode(f.mode)
+		before += l.Affected()
+		l.SetMode(f.mode)
 	}
 	end = func() {
 		for _, l := range links {
-			l.setMode(linkOpen)
+			l.SetMode(localprocess.Open)
 		}
 	}
 	return end, func() int {
 		after := int64(0)
 		for _, l := range links {
-			after += l.affected.Load()
+			after += l.Affected()
 		}
 		return int(after - before)
 	}
@@ -139,7 +141,7 @@
 // strikeCutPeers cuts all links between a node and the other nodes, in both directions.
 func strikeCutPeers(st *site, f *fault) (end func(), affected func() int) {
 	n := st.selected(f)
-	var links []*link
+	var links []*localprocess.Link
 	for _, other := range st.nodes {
 		if other != n {
 			links = append(links, n.peerLinks[other.process.Name], other.peerLinks[n.process.Name])
--- a/internal/loadtest/soak/users.go
+++ b/internal/loadtest/soak/users.go
@@ -253,7 +253,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	a := answer{operation: op, job: id, node: n.process.Name, sent: time.Now()}
-	a.status, a.phase = u.roundTrip(ctx, method, "http://"+n.userLink.addr+path, body)
+	a.status, a.phase = u.roundTrip(ctx, method, "http://"+n.userLink.Addr+path, body)
 	a.received = time.Now()
 	u.site.history.addAnswer(a)
 	return a
--- a/internal/loadtest/soak/worker.go
+++ b/internal/loadtest/soak/worker.go
@@ -221,7 +221,7 @@
 
 // post sends a heartbeat to a controller and returns the response, or status 0 without one.
 func (w *worker) post(node int, body []byte) (status int, raw []byte) {
-	url := "http://" + w.site.nodes[node].workerLinks[w.spec.zone].addr + "/v1/report"
+	url := "http://" + w.site.nodes[node].workerLinks[w.spec.zone].Addr + "/v1/report"
 	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		panic(err) // the URL is valid
