Fix: an overloaded node answers its users in turn

With the newest lookup first, some jobs were never the newest, and a lookup that stayed queued kept its old place however often its user polled.

Change: of the lookups that still have a request waiting, the one of the job whose polls have failed for longest is read first, else the newest.

--- a/internal/controller/joblookups.go
+++ b/internal/controller/joblookups.go
@@ -51,9 +51,10 @@
 	current, next []lookupMsg
 }
 
-// lookup returns a job's state from the store.
-func (c *Controller) lookup(ctx context.Context, id string) (api.JobState, error) {
-	m := lookupMsg{id: id, reply: make(chan lookupReply, 1)}
+// lookup returns a job's state from the store. Polls of the job have failed since failingSince, or the
+// last one was answered if that is zero.
+func (c *Controller) lookup(ctx context.Context, id string, failingSince time.Time) (api.JobState, error) {
+	m := lookupMsg{id: id, failingSince: failingSince, reply: make(chan lookupReply, 1)}
 	m.deadline, _ = ctx.Deadline()
 	reply, err := request(ctx, c, m, m.reply)
 	if err != nil {
@@ -69,8 +70,9 @@
 type lookupMsg struct {
 	id string
 	// deadline is when the request times out, or zero if it does not.
-	deadline time.Time
-	reply    chan lookupReply
+	deadline     time.Time
+	failingSince time.Time
+	reply        chan lookupReply
 }
 
 // lookupReply is the result of a lookup.
@@ -121,24 +123,57 @@
 	q.counts.dropped++
 }
 
-// startNext starts the newest queued lookups, as many as may run at a time.
+// startNext starts queued lookups, as many as may run at a time.
 func (q *jobLookups) startNext() {
-	now := time.Now()
+	if q.running >= maxConcurrentLookups {
+		return
+	}
+	q.dropTimedOut(time.Now())
 	for q.running < maxConcurrentLookups && len(q.queue) > 0 {
-		last := len(q.queue) - 1
-		id := q.queue[last]
-		q.queue = q.queue[:last]
-		lookup := q.byJob[id]
-		if !slices.ContainsFunc(lookup.current, func(m lookupMsg) bool { return !m.hasTimedOut(now) }) {
-			q.drop(id)
-			continue
-		}
-		lookup.running = true
+		i := q.mostUrgent()
+		id := q.queue[i]
+		q.queue = slices.Delete(q.queue, i, i+1)
+		q.byJob[id].running = true
 		q.running++
 		go q.read(id)
 	}
 }
 
+// dropTimedOut drops the queued lookups for which no request waits any more.
+func (q *jobLookups) dropTimedOut(now time.Time) {
+	q.queue = slices.DeleteFunc(q.queue, func(id string) bool {
+		if slices.ContainsFunc(q.byJob[id].current, func(m lookupMsg) bool { return !m.hasTimedOut(now) }) {
+			return false
+		}
+		q.drop(id)
+		return true
+	})
+}
+
+// mostUrgent returns the index in the queue of the job whose polls have failed for longest or, if there
+// is none, of the newest lookup.
+func (q *jobLookups) mostUrgent() int {
+	urgent, longest := len(q.queue)-1, time.Time{}
+	for i, id := range q.queue {
+		since := q.byJob[id].failingSince()
+		if !since.IsZero() && (longest.IsZero() || since.Before(longest)) {
+			urgent, longest = i, since
+		}
+	}
+	return urgent
+}
+
+// failingSince returns since when polls of the job have failed, or the zero time.
+func (l *sharedLookup) failingSince() time.Time {
+	var since time.Time
+	for _, m := range l.current {
+		if !m.failingSince.IsZero() && (since.IsZero() || m.failingSince.Before(since)) {
+			since = m.failingSince
+		}
+	}
+	return since
+}
+
 // read reads a job from the store.
 func (q *jobLookups) read(id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), lookupTimeout)
--- a/internal/controller/polloverload_test.go
+++ b/internal/controller/polloverload_test.go
@@ -193,6 +193,38 @@
 	})
 }
 
+// While more users poll than a node has requests to the store for, for however long, each of them is
+// answered in turn.
+func TestOverloadedNodeAnswersUsersInTurn(t *testing.T) {
+	const jobs = 1000
+	simulate(t, func(w *simulatedCluster) {
+		leader := w.start("n0")
+		alone := w.start("n1")
+		alone.records.Store = newSlowStore(w.store, 48, 10*time.Millisecond)
+		for i := range jobs {
+			w.submit(leader, spec(fmt.Sprint("job-", 1000+i), 1))
+		}
+		end := time.Now().Add(3 * forgottenAfter)
+		var forgotten atomic.Int32
+		var users sync.WaitGroup
+		for i := range jobs {
+			users.Go(func() {
+				time.Sleep(userPollInterval * time.Duration(i) / jobs)
+				for time.Now().Before(end) {
+					if !isAnswered(alone, fmt.Sprint("job-", 1000+i)) {
+						forgotten.Add(1)
+					}
+					time.Sleep(userPollInterval)
+				}
+			})
+		}
+		users.Wait()
+		if count := forgotten.Load(); count > 0 {
+			w.t.Errorf("%d times no question about a job was answered for %v", count, forgottenAfter)
+		}
+	})
+}
+
 // isAnswered polls a job as its user does, and reports whether a poll is answered within forgottenAfter.
 func isAnswered(n *node, id string) bool {
 	for start := time.Now(); time.Since(start) < forgottenAfter; {
--- a/internal/controller/polls.go
+++ b/internal/controller/polls.go
@@ -19,14 +19,16 @@
 // Job implements api.Backend.
 func (c *Controller) Job(ctx context.Context, id string) (api.JobState, error) {
 	answer := c.answers.begin(pollRequest, id)
-	state, source, err := c.findJob(ctx, id)
+	state, source, err := c.findJob(ctx, id, answer.failingSince)
 	return answer.decide(source, state, err)
 }
 
 // findJob returns a job's state and where it was found. A node that cannot respond from its memory
 // queries the leader, then reads the store, and then queries the other nodes that reach the store. If
 // all fail, the error has those of all steps.
-func (c *Controller) findJob(ctx context.Context, id string) (api.JobState, answerSource, error) {
+func (c *Controller) findJob(
+	ctx context.Context, id string, failingSince time.Time,
+) (api.JobState, answerSource, error) {
 	reply, err := c.poll(ctx, id)
 	if err != nil {
 		return api.JobState{}, fromMemory, err
@@ -39,7 +41,7 @@
 		steps = append(steps, c.peerStep(fromLeader, reply.leader, id))
 	}
 	if !reply.kvUnreachable {
-		steps = append(steps, c.storeStep(id))
+		steps = append(steps, c.storeStep(id, failingSince))
 	}
 	for _, node := range reply.otherNodes {
 		steps = append(steps, c.peerStep(fromPeer, node, id))
@@ -52,9 +54,9 @@
 func isConclusive(err error) bool { return err == nil || errors.Is(err, api.ErrUnknownJob) }
 
 // storeStep returns the step of a poll that reads the store.
-func (c *Controller) storeStep(id string) pollStep {
+func (c *Controller) storeStep(id string, failingSince time.Time) pollStep {
 	return pollStep{fromStore, "store", lookupDelay, func(ctx context.Context) (api.JobState, error) {
-		return c.lookup(ctx, id)
+		return c.lookup(ctx, id, failingSince)
 	}}
 }
 
@@ -81,7 +83,7 @@
 	case reply.kvUnreachable || reply.unconfirmed:
 		return api.JobState{}, api.ErrUnavailable // the other node reads the store itself
 	}
-	return c.lookup(ctx, id)
+	return c.lookup(ctx, id, time.Time{})
 }
 
 // poll requests a job's state from the owner goroutine.
--- a/internal/controller/storedjobs.go
+++ b/internal/controller/storedjobs.go
@@ -10,7 +10,7 @@
 // RecordedJob implements api.Backend. It reads the job from the store.
 func (c *Controller) RecordedJob(ctx context.Context, id string) (api.JobState, error) {
 	answer := c.answers.begin(repeatRequest, id)
-	state, err := c.lookup(ctx, id)
+	state, err := c.lookup(ctx, id, answer.failingSince)
 	return answer.decide(fromStore, state, err)
 }
 
--- a/internal/controller/useranswers.go
+++ b/internal/controller/useranswers.go
@@ -64,7 +64,7 @@
 const (
 	// maxAcknowledgedJobs and maxFailingJobs bound the memory of userAnswers.
 	maxAcknowledgedJobs = 8192
-	maxFailingJobs      = 512
+	maxFailingJobs      = 4096
 	// failingPollsLogInterval is for how long polls of a job must fail to be logged, and the time
 	// between two log lines about that job.
 	failingPollsLogInterval = 30 * time.Second
@@ -89,11 +89,19 @@
 	id      string
 	// acknowledged is set if the job had been called accepted when the request arrived.
 	acknowledged bool
+	// failingSince is when the first of the polls failed that have not been answered since, or zero.
+	failingSince time.Time
 }
 
 // begin notes the arrival of a request. It must be called before anything is read for the answer.
 func (a *userAnswers) begin(request userRequest, id string) pendingAnswer {
-	return pendingAnswer{answers: a, request: request, id: id, acknowledged: a.acknowledged.Contains(id)}
+	p := pendingAnswer{answers: a, request: request, id: id, acknowledged: a.acknowledged.Contains(id)}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if polls, ok := a.failing.Peek(id); ok {
+		p.failingSince = polls.since
+	}
+	return p
 }
 
 // decide returns the answer to a request about a job, whose state or error was found at a source. If
