Log: failing polls at most once in ten seconds, with the number of jobs

One line for each job every 30 s would have been hundreds a second in an outage. TestFailingPollsAreLoggedSparingly: four lines in a minute for a hundred jobs.

--- a/internal/controller/useranswers.go
+++ b/internal/controller/useranswers.go
@@ -48,12 +48,14 @@
 	mu sync.Mutex
 	// failing holds the jobs whose last poll failed.
 	failing *lru.Cache[string, *failingPolls]
+	// failingLoggedAt is when failing polls of any job were last logged.
+	failingLoggedAt time.Time
 }
 
 // failingPolls describes the failed polls of a job since the last one that was answered.
 type failingPolls struct {
-	since, loggedAt time.Time
-	count           int
+	since time.Time
+	count int
 }
 
 // answerCounters counts the answers since the process began.
@@ -65,9 +67,10 @@
 	// maxAcknowledgedJobs and maxFailingJobs bound the memory of userAnswers.
 	maxAcknowledgedJobs = 8192
 	maxFailingJobs      = 4096
-	// failingPollsLogInterval is for how long polls of a job must fail to be logged, and the time
-	// between two log lines about that job.
-	failingPollsLogInterval = 30 * time.Second
+	// failingPollsLogDelay is for how long polls of a job must fail to be logged.
+	failingPollsLogDelay = 30 * time.Second
+	// failingPollsLogInterval is the least time between two such log lines.
+	failingPollsLogInterval = 10 * time.Second
 )
 
 func newUserAnswers(log *slog.Logger) *userAnswers {
@@ -158,7 +161,8 @@
 	}
 }
 
-// pollFailed notes a failed poll, and logs a job whose polls have failed for failingPollsLogInterval.
+// pollFailed notes a failed poll, and logs a job whose polls have failed for failingPollsLogDelay, one of
+// them at a time.
 func (p pendingAnswer) pollFailed(err error) {
 	if p.request != pollRequest {
 		return
@@ -169,16 +173,16 @@
 	defer a.mu.Unlock()
 	polls, ok := a.failing.Get(p.id)
 	if !ok {
-		polls = &failingPolls{since: now, loggedAt: now}
+		polls = &failingPolls{since: now}
 		a.failing.Add(p.id, polls)
 	}
 	polls.count++
-	if now.Sub(polls.loggedAt) < failingPollsLogInterval {
+	if now.Sub(polls.since) < failingPollsLogDelay || now.Sub(a.failingLoggedAt) < failingPollsLogInterval {
 		return
 	}
-	polls.loggedAt = now
+	a.failingLoggedAt = now
 	a.log.Info("polls of a job keep failing", "job", p.id, "count", polls.count, "since", polls.since,
-		"acknowledged", p.acknowledged, "err", err)
+		"acknowledged", p.acknowledged, "failingJobs", a.failing.Len(), "err", err)
 }
 
 // AnswerStatus is the part of a node's status about the answers that its users got since the process
--- a/internal/controller/useranswers_test.go
+++ b/internal/controller/useranswers_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -41,6 +44,23 @@
 	})
 }
 
+// Polls that keep failing are logged with the reason, but not once for each job.
+func TestFailingPollsAreLoggedSparingly(t *testing.T) {
+	simulate(t, func(w *simulatedCluster) {
+		var output strings.Builder
+		answers := newUserAnswers(slog.New(slog.NewTextHandler(&output, nil)))
+		for range 13 {
+			for job := range 100 {
+				answer := answers.begin(pollRequest, fmt.Sprint("job-", job))
+				_, _ = answer.decide(fromStore, api.JobState{}, errors.New("store: too slow"))
+			}
+			time.Sleep(5 * time.Second)
+		}
+		w.checkEqual("log lines in a minute", strings.Count(output.String(), "polls of a job keep failing"), 4)
+		w.checkEqual("the reason is logged", strings.Contains(output.String(), "store: too slow"), true)
+	})
+}
+
 // A poll that began before a job was accepted may find it unknown: that contradicts nothing.
 func TestAnswerBegunBeforeAcceptanceIsNoContradiction(t *testing.T) {
 	simulate(t, func(w *simulatedCluster) {
