--- a/internal/loadtest/localprocess/localprocess.go
+++ b/internal/loadtest/localprocess/localprocess.go
@@ -46,6 +46,8 @@
 	p.cmd, p.exited = exec.CommandContext(context.Background(), binary, p.Args...), make(chan struct{})
 	p.cmd.Stderr = log
 	p.cmd.Env = append(os.Environ(), p.Env...)
+	// The process must not outlive the test.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
