--- a/internal/daemon/load_test.go
+++ b/internal/daemon/load_test.go
@@ -103,6 +103,14 @@
 			TaskDuration:      35 * time.Second,
 			PollsPerSecond:    8,
 		}},
+		{"190machines-300polls", loadtest.Plan{
+			Machines:          190,
+			HeartbeatInterval: 5 * time.Second,
+			JobInterval:       2 * time.Second,
+			Tasks:             70,
+			TaskDuration:      35 * time.Second,
+			PollsPerSecond:    300,
+		}},
 	} {
 		b.Run(c.name, func(b *testing.B) { benchmarkSecond(b, c.plan) })
 	}
