--- a/internal/daemon/load_test.go
+++ b/internal/daemon/load_test.go
@@ -103,7 +103,7 @@
 			TaskDuration:      35 * time.Second,
 			PollsPerSecond:    8,
 		}},
-		{"190machines-300polls", loadtest.Plan{
+		{"190machines-polls", loadtest.Plan{
 			Machines:          190,
 			HeartbeatInterval: 5 * time.Second,
 			JobInterval:       2 * time.Second,
