Lookups: a full queue drops those that have timed out first

It dropped the oldest, which could be that of a user who polls again and again. TestFullQueueOfLookupsKeepsThoseStillWaitedFor failed before.

--- a/internal/controller/joblookups.go
+++ b/internal/controller/joblookups.go
@@ -15,9 +15,9 @@
 // would use up the users' request rate and the time of all of them, none would come to its second
 // read, and all would begin again when their users poll again. So a lookup that has begun is
 // completed even if the requests that wait for it have timed out: if the job has ended, the next
-// poll is answered from memory. A lookup that has not begun is dropped once they have timed out, and
-// the newest lookup is started first, so that under overload reads are made for requests that still
-// wait.
+// poll is answered from memory. A lookup that has not begun is dropped once they have timed out. The
+// job whose polls have failed for longest is read first, else the newest: under overload each user is
+// answered in turn, and reads are made for requests that still wait.
 type jobLookups struct {
 	controller *Controller
 	// byJob holds the lookups that are queued or running.
@@ -103,9 +103,12 @@
 	}
 }
 
-// enqueue queues the lookup of a job, and starts it if possible. If the queue is full, it drops the
-// oldest lookup.
+// enqueue queues the lookup of a job, and starts it if possible. If the queue is full of lookups for
+// which requests wait, it drops the oldest.
 func (q *jobLookups) enqueue(id string) {
+	if len(q.queue) >= maxQueuedLookups {
+		q.dropTimedOut(time.Now())
+	}
 	if len(q.queue) >= maxQueuedLookups {
 		q.drop(q.queue[0])
 		q.queue = slices.Delete(q.queue, 0, 1)
--- a/internal/controller/polloverload_test.go
+++ b/internal/controller/polloverload_test.go
@@ -239,3 +239,24 @@
 	}
 	return false
 }
+
+// A full queue loses lookups for which nobody waits before those of users who still do.
+func TestFullQueueOfLookupsKeepsThoseStillWaitedFor(t *testing.T) {
+	q := jobLookups{byJob: map[string]*sharedLookup{}, running: maxConcurrentLookups}
+	now := time.Now()
+	request := func(id string, deadline time.Time) lookupMsg {
+		m := lookupMsg{id: id, deadline: deadline, reply: make(chan lookupReply, 1)}
+		q.add(m)
+		return m
+	}
+	oldest := request("job-0", now.Add(time.Hour))
+	for i := range maxQueuedLookups {
+		request(fmt.Sprint("job-", 1+i), now.Add(-time.Second))
+	}
+	if len(oldest.reply) > 0 || q.byJob["job-0"] == nil {
+		t.Error("the oldest lookup was dropped, want those that have timed out")
+	}
+	if len(q.queue) > maxQueuedLookups {
+		t.Errorf("got %d queued lookups, want at most %d", len(q.queue), maxQueuedLookups)
+	}
+}
