--- a/internal/loadtest/localprocess/link.go
+++ b/internal/loadtest/localprocess/link.go
@@ -1,7 +1,9 @@
 package localprocess
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -32,6 +34,8 @@
 const (
 	linkDialTimeout = time.Second
 	linkBufferBytes = 16 << 10
+	// copyResponseTime is how long the connection of a copy stays open.
+	copyResponseTime = 3 * time.Second
 )
 
 // Link forwards the connections of one party to the listener of another.
@@ -48,15 +52,25 @@
 	conns       map[net.Conn]bool
 	closed      bool
 	affected    atomic.Int64
+	// drawCopy decides, for each piece of data that a client sends, whether a copy arrives later.
+	drawCopy func() (delay time.Duration, ok bool)
+	copies   atomic.Int64
 }
 
 // NewLink opens a link to an address.
-func NewLink(target string) (*Link, error) {
+func NewLink(target string) (*Link, error) { return NewRepeatingLink(target, nil) }
+
+// NewRepeatingLink opens a link to an address that delivers some of what clients send once more. drawCopy
+// decides, for each piece of data, whether and after which delay; nil means never. A copy arrives on a
+// connection of its own, whose responses are dropped. It is a whole message if the client has sent one at
+// once; else the receiver finds it malformed.
+func NewRepeatingLink(target string, drawCopy func() (delay time.Duration, ok bool)) (*Link, error) {
 	l := &Link{
 		Addr:        NextAddr(),
 		target:      target,
 		modeChanged: make(chan struct{}),
 		conns:       map[net.Conn]bool{},
+		drawCopy:    drawCopy,
 	}
 	return l, l.listen()
 }
@@ -90,8 +104,8 @@
 				reset(out)
 				return
 			}
-			go l.forward(out, in)
-			l.forward(in, out)
+			go l.forward(out, in, l.drawCopy)
+			l.forward(in, out, nil)
 		}()
 	}
 }
@@ -108,8 +122,9 @@
 	return true
 }
 
-// forward copies data from one connection to another until one of them ends, and closes both.
-func (l *Link) forward(to, from net.Conn) {
+// forward copies data from one connection to another until one of them ends, and closes both. drawCopy
+// decides what arrives once more.
+func (l *Link) forward(to, from net.Conn, drawCopy func() (delay time.Duration, ok bool)) {
 	buffer := make([]byte, linkBufferBytes)
 	for {
 		n, err := from.Read(buffer)
@@ -117,6 +132,7 @@
 			if _, err := to.Write(buffer[:n]); err != nil {
 				break
 			}
+			l.repeat(buffer[:n], drawCopy)
 		}
 		if err != nil {
 			l.awaitDelivery()
@@ -131,6 +147,41 @@
 	l.mu.Unlock()
 }
 
+// repeat makes a copy of data arrive later if drawCopy decides so.
+func (l *Link) repeat(data []byte, drawCopy func() (delay time.Duration, ok bool)) {
+	if drawCopy == nil {
+		return
+	}
+	if delay, ok := drawCopy(); ok {
+		copied := bytes.Clone(data)
+		time.AfterFunc(delay, func() { l.deliverCopy(copied) })
+	}
+}
+
+// deliverCopy sends a copy of data on a connection of its own, unless the link is cut.
+func (l *Link) deliverCopy(data []byte) {
+	l.mu.Lock()
+	open := !l.closed && l.mode == Open
+	l.mu.Unlock()
+	if !open {
+		return
+	}
+	dialer := net.Dialer{Timeout: linkDialTimeout}
+	conn, err := dialer.DialContext(context.Background(), "tcp", l.target)
+	if err != nil {
+		return // the receiver is down
+	}
+	defer closeQuietly(conn)
+	if _, err := conn.Write(data); err != nil {
+		return
+	}
+	l.copies.Add(1)
+	// The sender of the original does not wait for the response to the copy, but a receiver might
+	// give up a request whose connection is closed.
+	_ = conn.SetReadDeadline(time.Now().Add(copyResponseTime)) // fails only if the connection is closed
+	_, _ = io.Copy(io.Discard, conn)
+}
+
 // awaitDelivery waits while data is held, and reports whether data is to be delivered.
 func (l *Link) awaitDelivery() bool {
 	for {
@@ -215,3 +266,6 @@
 
 // Affected returns the number of connections and pieces of data that modes other than Open have affected.
 func (l *Link) Affected() int64 { return l.affected.Load() }
+
+// Copies returns the number of copies that have been delivered.
+func (l *Link) Copies() int64 { return l.copies.Load() }
--- a/internal/loadtest/localprocess/link_test.go
+++ b/internal/loadtest/localprocess/link_test.go
@@ -10,6 +10,14 @@
 // startEcho starts a server that sends back each line, and returns a link to it.
 func startEcho(t *testing.T) *Link {
 	t.Helper()
+	l, _ := startCountingEcho(t, nil)
+	return l
+}
+
+// startCountingEcho is startEcho with a repeating link. It also returns the lines that the server gets.
+func startCountingEcho(t *testing.T, drawCopy func() (time.Duration, bool)) (*Link, <-chan string) {
+	t.Helper()
+	received := make(chan string, 10)
 	listener, err := Listen()
 	if err != nil {
 		t.Fatal(err)
@@ -24,17 +32,18 @@
 			go func() {
 				lines := bufio.NewScanner(conn)
 				for lines.Scan() {
+					received <- lines.Text()
 					_, _ = conn.Write([]byte(lines.Text() + "\n"))
 				}
 			}()
 		}
 	}()
-	l, err := NewLink(listener.Addr().String())
+	l, err := NewRepeatingLink(listener.Addr().String(), drawCopy)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { closeQuietly(l) })
-	return l
+	return l, received
 }
 
 // dial opens a connection through a link.
@@ -123,3 +132,20 @@
 		t.Error("got a connection, want it refused")
 	}
 }
+
+func TestRepeatingLinkDeliversCopyLater(t *testing.T) {
+	l, received := startCountingEcho(t, func() (time.Duration, bool) { return shortWait, true })
+	if got := exchange(t, dial(t, l), "once", longWait); got != "once" {
+		t.Fatalf("got %q, want the echo", got)
+	}
+	for range 2 {
+		select {
+		case line := <-received:
+			if line != "once" {
+				t.Errorf("server got %q, want the line and its copy", line)
+			}
+		case <-time.After(longWait):
+			t.Fatal("server got no copy")
+		}
+	}
+}
--- a/internal/loadtest/soak/run.go
+++ b/internal/loadtest/soak/run.go
@@ -36,9 +36,10 @@
 	faults     []*fault
 	operations map[string]int
 	violations []violation
-	// late counts the late transactions that the store applied, and runs the tasks that were started.
-	late, runs, jobsDone int
-	unexpectedExits      int64
+	// late counts the late transactions that the store applied, copies the messages that links delivered
+	// once more, and runs the tasks that were started.
+	late, copies, runs, jobsDone int
+	unexpectedExits              int64
 	// failure says why the run is worth nothing, or is "".
 	failure string
 	// logs is the directory with the logs and settings of the controllers.
@@ -152,6 +153,9 @@
 		}
 	}
 	r.runs, r.jobsDone = len(h.runs), len(done)
+	for _, l := range st.links {
+		r.copies += int(l.Copies())
+	}
 	st.store.mu.Lock()
 	r.late = st.store.lateApplied
 	st.store.mu.Unlock()
@@ -171,8 +175,9 @@
 // String lists the seed, the faults with their times, the operations and the verdict.
 func (r *result) String() string {
 	var text strings.Builder
-	fmt.Fprintf(&text, "seed %d: %d workers, %d users, %.0f s; %d jobs done, %d starts, %d late transactions\n",
-		r.seed, r.workers, r.users, r.took.Seconds(), r.jobsDone, r.runs, r.late)
+	fmt.Fprintf(&text, "seed %d: %d workers, %d users, %.0f s; %d jobs done, %d starts, "+
+		"%d late transactions, %d copies of messages\n",
+		r.seed, r.workers, r.users, r.took.Seconds(), r.jobsDone, r.runs, r.late, r.copies)
 	fmt.Fprintf(&text, "%s\n", describeFaults(r.faults, r.started))
 	fmt.Fprintf(&text, "  operations, by status:")
 	for _, name := range slices.Sorted(maps.Keys(r.operations)) {
--- a/internal/loadtest/soak/site.go
+++ b/internal/loadtest/soak/site.go
@@ -178,13 +178,24 @@
 }
 
 func (st *site) newLink(target string) (*localprocess.Link, error) {
-	l, err := localprocess.NewLink(target)
+	l, err := localprocess.NewRepeatingLink(target, st.drawCopy)
 	if err == nil {
 		st.links = append(st.links, l)
 	}
 	return l, err
 }
 
+// messageCopyShare is the share of messages of which a link delivers a copy later.
+const messageCopyShare = 0.02
+
+// drawCopy decides whether a copy of a message arrives later, and after which delay.
+func (st *site) drawCopy() (delay time.Duration, ok bool) {
+	if !st.random.chance(messageCopyShare) {
+		return 0, false
+	}
+	return st.random.between(minCopyDelay, maxCopyDelay), true
+}
+
 // serve serves HTTP on a free port until the end of the run, and returns the address.
 func (st *site) serve(handler http.Handler) (string, error) {
 	listener, err := localprocess.Listen()
