Review: abort of a job whose tasks have completed

Cause: an independent review looked for broken promises in the source. A cancellation decides by the records alone, so a job whose last task has completed while the leader is away is answered "withdrawn" and its work is thrown away, together with the jobs that await it.

Nothing is fixed.

--- /dev/null
+++ b/review/world2/cases.go
@@ -0,0 +1,274 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// scenario is a case.
+type scenario struct {
+	settings func() siteSettings
+	frame    flavor
+	machines int
+	// play returns errBroken if the rule was broken, nil if it held, and another error if the case could
+	// not run.
+	play func(w *world, trouble bool) error
+}
+
+// nodSexton is the machine type of Studiekraft.
+var nodSexton = flavor{
+	Label: "nod-sexton", Cores: 16, MemoryGB: 128, LocalGB: 80, PullGBPerS: 1, Hourly: 0.84, LowPrice: 0.37,
+	StartupS: 25, Beds: []string{"norrland"},
+}
+
+// studiekraft returns the settings of Studiekraft at its first size, with six teams.
+func studiekraft() siteSettings {
+	var s siteSettings
+	s.Nodes, s.Zones, s.ClockOffMs = 3, []string{"norrland"}, 250
+	for i := range 6 {
+		s.Teams = append(s.Teams, team{Name: fmt.Sprintf("antagning-%02d", i), CPUs: 72, CPUsMax: 224})
+	}
+	s.Objectives = []any{map[string]any{"kind": "guarantee", "within_s": 10.0, "share": 0.93}}
+	s.Workers.ReportS, s.Workers.LeaseS, s.Workers.CancelS = 3, 24, 49
+	s.State = storeLimits{RPS: 80, WriteRPS: 25, ValueKB: 16, TxnOps: 20}
+	s.Cloud.RPS, s.Cloud.ListLagS = 5, 8
+	s.Limits.Cores, s.Limits.RAMMB, s.Limits.FDLimit = 0.06, 98, 800
+	return s
+}
+
+// cases are the cases by name.
+var cases = map[string]*scenario{
+	"start-after-abort":  {settings: smallTeams, frame: nodSexton, machines: 6, play: playStartAfterAbort},
+	"abort-of-done-job":  {settings: studiekraft, frame: nodSexton, machines: 4, play: playAbortOfDoneJob},
+	"poll-says-pending":  {settings: studiekraft, frame: nodSexton, machines: 4, play: playPollSaysPending},
+	"retry-says-pending": {settings: studiekraft, frame: nodSexton, machines: 4, play: playRetrySaysPending},
+}
+
+// smallTeams returns the settings with the limits of teams at the size of a machine, so that each team's
+// job always has tasks that wait.
+func smallTeams() siteSettings {
+	s := studiekraft()
+	for i := range s.Teams {
+		s.Teams[i].CPUs, s.Teams[i].CPUsMax = 16, 16
+	}
+	return s
+}
+
+// startNotInFlight is how long after the answer to a cancellation the message must have been sent to
+// which a start answers, for that start not to have been on its way.
+const startNotInFlight = 200 * time.Millisecond
+
+// playStartAfterAbort lets the state service refuse the leader alone, has users cancel jobs at another
+// node, and checks that no task of these jobs is started from then on.
+func playStartAfterAbort(w *world, trouble bool) error {
+	leader, other := w.leaderNode()
+	jobs := make([]*job, len(w.settings.Teams))
+	for i, t := range w.settings.Teams {
+		jobs[i] = &job{id: fmt.Sprintf("job-%06d", 401+i), team: t.Name, shoots: 2000, cores: 1,
+			runTime: 700 * time.Millisecond, spread: 0.4}
+		if err := w.submit(other, jobs[i]); err != nil {
+			return err
+		}
+	}
+	for _, j := range jobs {
+		if err := await(j.id+" to run", 30*time.Second, func() bool {
+			n, _ := w.runningSince(j.id)
+			return n > 0
+		}); err != nil {
+			return err
+		}
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		w.record("state service: refuses %s alone", leader.name)
+		w.store.refuse(leader.name, true)
+		defer w.store.refuse(leader.name, false)
+	}
+	time.Sleep(time.Second)
+	cancelled := map[string]time.Time{}
+	for _, j := range jobs {
+		r, err := w.abort(other, j.id)
+		if err != nil {
+			return err
+		}
+		if r.phase == "withdrawn" {
+			cancelled[j.id] = r.received
+		}
+		time.Sleep(430 * time.Millisecond)
+	}
+	time.Sleep(3 * time.Second)
+	if len(cancelled) == 0 {
+		return fmt.Errorf("no job was cancelled")
+	}
+	return w.checkStartsAfter(cancelled)
+}
+
+// checkStartsAfter returns errBroken if a task was started after its user was told that its job is
+// cancelled, by a command that was not in flight then.
+func (w *world) checkStartsAfter(cancelled map[string]time.Time) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	count, latest := 0, time.Duration(0)
+	for _, s := range w.starts {
+		id, _, _ := strings.Cut(s.shoot, "/")
+		at, ok := cancelled[id]
+		if late := s.asked.Sub(at); ok && late > startNotInFlight {
+			w.recordLocked("broken: %s started on %s by the %s, %.3f s after its user was told %s is withdrawn",
+				s.shoot, s.machine, s.source, late.Seconds(), id)
+			count, latest = count+1, max(latest, late)
+		}
+	}
+	if count == 0 {
+		return nil
+	}
+	return fmt.Errorf("%w: %d tasks of cancelled jobs were started, the last %.2f s after the answer",
+		errBroken, count, latest.Seconds())
+}
+
+// stateLag is how far a job's state may lag, by PROTOCOL.
+const stateLag = 3 * time.Second
+
+// runLongJob submits a job with long tasks, and waits until all of them run.
+func runLongJob(w *world, n *controller, shoots int) (*job, error) {
+	j := &job{id: "job-000412", team: w.settings.Teams[0].Name, shoots: shoots, cores: 2, runTime: 100 * time.Second}
+	if err := w.submit(n, j); err != nil {
+		return nil, err
+	}
+	return j, w.awaitAllRun(j)
+}
+
+// awaitAllRun waits until all tasks of a job have run for longer than a state may lag.
+func (w *world) awaitAllRun(j *job) error {
+	return await(j.id+" to run", 30*time.Second, func() bool {
+		n, shortest := w.runningSince(j.id)
+		return n == j.shoots && shortest > stateLag+time.Second
+	})
+}
+
+// checkPhase returns errBroken if an answer calls a job pending although all its tasks have run for longer
+// than a state may lag.
+func (w *world) checkPhase(j *job, r reply) error {
+	n, shortest := w.runningSince(j.id)
+	if r.code != 200 || r.phase != "pending" || n < j.shoots || shortest < stateLag {
+		return nil
+	}
+	return fmt.Errorf("%w: %s is called pending, while all its %d tasks have run for %.1f s or more",
+		errBroken, j.id, n, shortest.Seconds())
+}
+
+// playPollSaysPending has connections between controllers refused, and a user ask about a running job.
+func playPollSaysPending(w *world, trouble bool) error {
+	_, other := w.leaderNode()
+	j, err := runLongJob(w, other, 8)
+	if err != nil {
+		return err
+	}
+	if r := w.poll(other, j.id); r.phase != "running" {
+		return fmt.Errorf("%s is not called running before the disruption: %s", j.id, r)
+	}
+	if trouble {
+		w.record("connections between controllers: refused")
+		for _, n := range w.nodes {
+			for _, l := range n.peers {
+				l.refuse()
+			}
+		}
+	}
+	for range 5 {
+		time.Sleep(5 * time.Second)
+		if err := w.checkPhase(j, w.poll(other, j.id)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// playRetrySaysPending loses the answer to a submission, and has the user retry it.
+func playRetrySaysPending(w *world, trouble bool) error {
+	_, other := w.leaderNode()
+	l, err := newLink(other.apiAddr)
+	if err != nil {
+		return err
+	}
+	j := &job{id: "job-000412", team: w.settings.Teams[0].Name, shoots: 8, cores: 2, runTime: 100 * time.Second}
+	l.mute(trouble)
+	first := w.send(l.addr, j)
+	l.mute(false)
+	if trouble != (first.code == 0) {
+		return fmt.Errorf("first submission: %s", first)
+	}
+	if err := w.awaitAllRun(j); err != nil {
+		return err
+	}
+	for first.code == 0 {
+		first = w.send(l.addr, j)
+		if err := w.checkPhase(j, first); err != nil {
+			return err
+		}
+		time.Sleep(retryDelay)
+	}
+	return nil
+}
+
+// restartDelay is how long a controller that has ended takes to come back, by the pages of the deployments.
+const restartDelay = 5 * time.Second
+
+// playAbortOfDoneJob has the leader crash shortly before the last task of a job completes, and a user cancel
+// the job longer after that than a job's state may lag. The leader comes back as the pages say. Another job
+// awaits the cancelled one; what becomes of it is recorded.
+func playAbortOfDoneJob(w *world, trouble bool) error {
+	leader, other := w.leaderNode()
+	j := &job{id: "job-000412", team: w.settings.Teams[0].Name, shoots: 8, cores: 2, runTime: 14 * time.Second}
+	next := &job{id: "job-000413", team: j.team, shoots: 1, cores: 1, runTime: time.Second, awaits: []string{j.id}}
+	for _, submitted := range []*job{j, next} {
+		if err := w.submit(other, submitted); err != nil {
+			return err
+		}
+	}
+	const left = 500 * time.Millisecond
+	if err := await(j.id+" to near its end", 40*time.Second, func() bool {
+		n, shortest := w.runningSince(j.id)
+		return n > 0 && n+w.tasksDone(j) == j.shoots && shortest > j.runTime-left
+	}); err != nil {
+		return err
+	}
+	if trouble {
+		w.kill(leader)
+		time.AfterFunc(restartDelay, func() { w.restart(leader) })
+	}
+	if err := await(j.id+" to be done", 10*time.Second, func() bool { return w.tasksDone(j) == j.shoots }); err != nil {
+		return err
+	}
+	doneAt := time.Now()
+	w.record("all tasks of %s have completed", j.id)
+	time.Sleep(stateLag + 300*time.Millisecond)
+	asked := time.Now()
+	r, err := w.abort(other, j.id)
+	if err != nil {
+		return err
+	}
+	for range 4 {
+		time.Sleep(2 * time.Second)
+		w.poll(other, j.id)
+		w.poll(other, next.id)
+	}
+	if r.phase == "done" {
+		return nil
+	}
+	return fmt.Errorf("%w: the abort of %s, whose %d tasks had completed %.1f s before it was asked, is answered %q",
+		errBroken, j.id, j.shoots, asked.Sub(doneAt).Seconds(), r.phase)
+}
+
+// tasksDone returns how many tasks of a job have completed.
+func (w *world) tasksDone(j *job) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	count := 0
+	for shoot, done := range w.finished {
+		if id, _, _ := strings.Cut(shoot, "/"); id == j.id && done {
+			count++
+		}
+	}
+	return count
+}
