Review: a job that fails everywhere keeps another team's job waiting

Cause: the autoscaler counts CPUs whose memory is taken as missing only for the job that has waited longest. A small job with a mistake, which fails on every machine, is that job, and hides what a sound job needs.

Nothing is fixed.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -9,4 +9,4 @@
   echo "not built: run the build of deploy/service.toml and review/build-2.sh" >&2
   exit 2
 fi
-exec "$program" -case poll-says-pending -record "$here/record.txt"
+exec "$program" -case abort-of-done-job -record "$here/record.txt"
--- a/review/world2/cases.go
+++ b/review/world2/cases.go
@@ -40,6 +40,7 @@
 // cases are the cases by name.
 var cases = map[string]*scenario{
 	"guarantee-waits":    {settings: borrowingTeam, frame: nodSexton, machines: 5, play: playGuaranteeWaits},
+	"faulty-job":         {settings: memoryTeam, frame: nodSexton, machines: 4, play: playFaultyJob},
 	"abort-of-done-job":  {settings: studiekraft, frame: nodSexton, machines: 4, play: playAbortOfDoneJob},
 	"poll-says-pending":  {settings: studiekraft, frame: nodSexton, machines: 4, play: playPollSaysPending},
 	"retry-says-pending": {settings: studiekraft, frame: nodSexton, machines: 4, play: playRetrySaysPending},
@@ -272,3 +273,60 @@
 	}
 	return name
 }
+
+// memoryTeam returns the settings with a second team whose tasks fill the memory of four machines at its limit.
+func memoryTeam() siteSettings {
+	s := studiekraft()
+	s.Teams[1].CPUs, s.Teams[1].CPUsMax = 16, 48
+	return s
+}
+
+// faultyWatchedFor is how long the job of the next case is watched. To boot a machine takes less than half of it.
+const faultyWatchedFor = 76 * time.Second
+
+// playFaultyJob has a user submit a job with a mistake, which fails on every machine, before another team
+// submits a sound job that needs a machine to be rented: the others have CPUs for it, and no memory.
+func playFaultyJob(w *world, trouble bool) error {
+	_, other := w.leaderNode()
+	busy := &job{id: "job-000411", team: w.settings.Teams[1].Name, shoots: 4000, cores: 1, memoryGB: 10,
+		windfall: true, runTime: 100 * time.Second, spread: 0.5}
+	if err := w.submit(other, busy); err != nil {
+		return err
+	}
+	if err := w.awaitRunning(busy, 48); err != nil {
+		return err
+	}
+	faulty := &job{id: "job-000412", team: w.settings.Teams[2].Name, shoots: 8, cores: 1, windfall: true,
+		runTime: 500 * time.Millisecond, fails: true}
+	if trouble {
+		if err := w.submit(other, faulty); err != nil {
+			return err
+		}
+		if err := await("failures on three machines", 20*time.Second, func() bool {
+			return w.machinesFailed(faulty.id) >= 3
+		}); err != nil {
+			return err
+		}
+	}
+	time.Sleep(6 * time.Second)
+	before := w.cloud.rentals()
+	sound := &job{id: "job-000413", team: w.settings.Teams[0].Name, shoots: 1, cores: 4, memoryGB: 32,
+		windfall: true, runTime: 10 * time.Second}
+	if err := w.submit(other, sound); err != nil {
+		return err
+	}
+	for begin := time.Now(); time.Since(begin) < faultyWatchedFor; time.Sleep(4 * time.Second) {
+		if r := w.poll(other, sound.id); r.phase == "done" {
+			return nil
+		}
+		if n, _ := w.runningSince(sound.id); trouble && (n > 0 || w.cloud.rentals() > before) {
+			w.record("the task started, or a machine was rented for it")
+			return nil
+		}
+	}
+	if !trouble {
+		return fmt.Errorf("%s not done", sound.id)
+	}
+	return fmt.Errorf("%w: %s, the only job of a team far below its guarantee, has waited %v, and the cloud was "+
+		"not asked for a machine", errBroken, sound.id, faultyWatchedFor)
+}
--- a/review/world2/worker.go
+++ b/review/world2/worker.go
@@ -30,6 +30,7 @@
 	stateExited  = "exited"
 	causeDone    = "done"
 	causeHalted  = "halted"
+	causeError   = "error"
 	causeNoRoom  = "no_room"
 	causeBusy    = "busy"
 	causeNoSuch  = "no_such"
@@ -213,7 +214,10 @@
 			changed = true
 		case s.Phase == stateRunning && !now.Before(t.ends):
 			s.Phase, s.Cause = stateExited, causeDone
-			m.finish(s.Shoot, causeDone)
+			if t.job.fails {
+				s.Cause = causeError
+			}
+			m.finish(s.Shoot, s.Cause)
 			changed = true
 		}
 	}
--- a/review/world2/world.go
+++ b/review/world2/world.go
@@ -73,8 +73,9 @@
 	spread float64
 	// memoryGB is what a task takes; 0 stands for 1.
 	memoryGB float64
-	// windfall is set if the job may use cheap machines.
-	windfall bool
+	// windfall is set if the job may use cheap machines, and fails if it was submitted with a mistake, so that
+	// its tasks fail on every machine.
+	windfall, fails bool
 	// awaits are the jobs that must be done before.
 	awaits []string
 }
@@ -115,6 +116,8 @@
 	// onMachine holds the tasks that run, with the time of their start.
 	onMachine map[string]time.Time
 	finished  map[string]bool
+	// failedOn holds the machines on which tasks of a job have failed, by job.
+	failedOn map[string]map[string]bool
 	// leader is the index of the node that last answered a report, and warrant is its token.
 	leader  int
 	warrant uint64
@@ -191,9 +194,22 @@
 	defer w.mu.Unlock()
 	delete(w.onMachine, shoot)
 	w.finished[shoot] = w.finished[shoot] || cause == causeDone
+	if id, _, _ := strings.Cut(shoot, "/"); cause == causeError {
+		if w.failedOn[id] == nil {
+			w.failedOn[id] = map[string]bool{}
+		}
+		w.failedOn[id][m.name] = true
+	}
 	w.recordLocked("%s: %s is off the machine: %s", m.name, shoot, cause)
 }
 
+// machinesFailed returns on how many machines tasks of a job have failed.
+func (w *world) machinesFailed(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.failedOn[id])
+}
+
 // runningSince returns how many tasks of a job run, and for how long the one that began last has run.
 func (w *world) runningSince(id string) (count int, shortest time.Duration) {
 	w.mu.Lock()
@@ -254,6 +270,7 @@
 		settings: settings, flavor: frame, store: newStore(settings.State), dir: dir, run: run, out: out,
 		began: time.Now(), client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		jobs: map[string]*job{}, onMachine: map[string]time.Time{}, finished: map[string]bool{}, leader: -1,
+		failedOn: map[string]map[string]bool{},
 	}
 	w.cloud = &cloud{world: w, gone: map[string]time.Time{}, capacity: 20, hired: map[string][]string{}}
 	for i := range settings.Nodes {
