Fix: a finished guest isn't cancelled before its host has heard of its end

What callers saw: a job that another cell runs is cancelled at home while the host's leader restarts and the machines hang, after its last tasks have completed. The answer was "withdrawn".

Cause: as with cancellations in one cell. The host's leader ended the guest as cancelled at home's first request, from what it had heard in its term.

--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -105,6 +105,8 @@
 	// another cell.
 	Lent  *loan.Lent
 	Guest *loan.Guest
+	// CancelRequestedAt is when the home cell of a guest first requested its cancellation.
+	CancelRequestedAt time.Time
 	// HandoverPending is set while a transaction that moves the job between cells is queued or in
 	// flight.
 	HandoverPending bool
--- a/internal/controller/finishedcancel_test.go
+++ b/internal/controller/finishedcancel_test.go
@@ -277,6 +277,45 @@
 	}
 }
 
+// runningGuest waits until all tasks of one of the jobs run in a cell, and returns its id.
+func (g *cellGroup) runningGuest(host *cell, ids []string) string {
+	g.t.Helper()
+	for range 100 {
+		for _, id := range ids {
+			if len(runningTasksOf(host.agents, id)) == g.job(id).spec.Tasks {
+				return id
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	g.t.Fatal("no job has all its tasks running at the host")
+	return ""
+}
+
+// A guest's tasks have completed while its host's leader restarts and the machines hang. Its user cancels
+// it at home: it has to end as done.
+func TestCancellationOfFinishedGuestIsAnsweredDone(t *testing.T) {
+	simulateCells(t, []int{1, 2}, func(g *cellGroup) {
+		home, host := g.cells[0], g.cells[1]
+		id := g.runningGuest(host, g.submitBurst(home, 100, 6, time.Minute))
+		g.mu.Lock()
+		host.hangUntil = time.Now().Add(2500 * time.Millisecond)
+		g.mu.Unlock()
+		for _, agent := range host.agents {
+			agent.mu.Lock()
+			for i := range agent.status.Tasks {
+				if task := &agent.status.Tasks[i]; strings.HasPrefix(task.Task, id+"/") {
+					task.Phase, task.Cause = api.TaskExited, api.CauseDone
+				}
+			}
+			agent.mu.Unlock()
+		}
+		host.restartNode(0, 200*time.Millisecond)
+		home.checkEqual("answer", g.cancel(id, 60), api.JobDone)
+		g.awaitAllEnded(10 * time.Minute)
+	})
+}
+
 // Cancellations of a finished job that are repeated at all nodes, and delivered once more minutes later,
 // all get the same answer. So does a late copy of a heartbeat from before the end.
 func TestRepeatedCancellationsOfFinishedJobAgree(t *testing.T) {
--- a/internal/controller/loanshost.go
+++ b/internal/controller/loanshost.go
@@ -68,7 +68,7 @@
 			raiseTo = max(raiseTo, e.Epoch)
 			l.logOnce("loan not accepted", "job", e.Job, "cell", req.Home, "reason", view.RefusalReason)
 		} else {
-			l.applyStep(req.Home, e, step)
+			l.applyStep(req.Home, e, step, now)
 		}
 		response.States = append(response.States, state)
 	}
@@ -230,7 +230,7 @@
 }
 
 // applyStep queues the change of this cell's records for a step.
-func (l *loans) applyStep(home string, e loan.Entry, step loan.Step) {
+func (l *loans) applyStep(home string, e loan.Entry, step loan.Step, now time.Time) {
 	j := l.leaderTerm.jobs[e.Job]
 	switch step {
 	case loan.StepAccept:
@@ -238,12 +238,28 @@
 	case loan.StepClose:
 		l.returnGuest(j)
 	case loan.StepCancel:
+		if !l.mayCancelGuest(j, now) {
+			return // home repeats the request
+		}
 		l.endGuest(j, loan.End{Epoch: e.Epoch, Phase: api.JobCancelled, Tasks: j.Spec.Tasks})
 	case loan.StepForget:
 		l.forgetEnd(home, e)
 	}
 }
 
+// mayCancelGuest reports whether a guest may be cancelled at its home cell's request. One that is finished
+// ends as done. If this leader cannot tell, the heartbeats that would show it may be on their way for
+// completionWait after the first request.
+func (l *loans) mayCancelGuest(j *cluster.Job, now time.Time) bool {
+	if j.DoneCount == j.Spec.Tasks {
+		return false
+	}
+	if j.CancelRequestedAt.IsZero() {
+		j.CancelRequestedAt = now
+	}
+	return l.leaderTerm.isUnfinished(j, now) || now.Sub(j.CancelRequestedAt) >= completionWait
+}
+
 // acceptGuest queues the write of a guest's active record. It is written unless this cell has a
 // record of a job with this id or the minimum epoch has reached the epoch of the loan.
 func (l *loans) acceptGuest(home string, e loan.Entry) {
