Fix: a leader that steps down keeps the completions it hadn't recorded

It stepped down, and the machine reached no controller for some seconds. The user's first request had got 503 at another node, since the leader knew of the end. The next one came to the former leader: "withdrawn".

Cause: the leader's memory of the term is dropped with the term, and with it the only knowledge of the end. The node that had been told kept nothing.

Change: at the end of a term the unrecorded completions go into the node's completion log; so does what a node has been told in a check of a cancellation. The next query brings it to the next leader.

Result: TestFormerLeaderKeepsUnrecordedCompletions fails before ("withdrawn" at all nodes) and passes.

--- a/internal/controller/cancelrequest.go
+++ b/internal/controller/cancelrequest.go
@@ -197,14 +197,19 @@
 		case verdict == completion.Ended || verdict == completion.Unfinished && !cc.finished:
 			return nil
 		case remaining <= 0:
-			return cc.decideAtDeadline()
+			return cc.decideAtDeadline(ctx)
 		}
 		sleep(ctx, min(pause, remaining))
 	}
 }
 
 // decideAtDeadline returns nil if the job may be cancelled although nobody has shown that it is unfinished.
-func (cc *completionCheck) decideAtDeadline() error {
+// This node keeps the tasks that it knows to have completed: when the request is repeated, those from which
+// it knows them may be away.
+func (cc *completionCheck) decideAtDeadline(ctx context.Context) error {
+	if len(cc.done) > 0 {
+		cc.controller.sendOrDrop(ctx, completionsKnownMsg{id: cc.id, tasks: cc.done})
+	}
 	counts, log := &cc.controller.answers.counts, cc.controller.Log
 	isRecent := time.Since(cc.leaderHeardAt) < cc.controller.heartbeatRerouteTime()
 	switch {
--- a/internal/controller/completionquery.go
+++ b/internal/controller/completionquery.go
@@ -121,7 +121,7 @@
 	case j.CancelPending, holdsLease && (j.Guest != nil || j.Lent != nil):
 		status.Verdict = completion.Unfinished
 	case j.DoneCount == j.Spec.Tasks:
-		status.Verdict = completion.Finished
+		status.Verdict, status.Done = completion.Finished, j.CompletionBitmap(0, j.Spec.Tasks)
 	case holdsLease && lt.isUnfinished(j, now):
 		status.Verdict = completion.Unfinished
 	default:
@@ -143,6 +143,33 @@
 	}
 }
 
+// keepCompletions adds the completed tasks whose completion is not recorded to this node's completion log.
+// Their machines may not be able to show them to the next leader.
+func (lt *leaderTerm) keepCompletions(now time.Time) {
+	for id, j := range lt.jobs {
+		if j.Guest != nil {
+			continue // its home cell decides on its cancellation
+		}
+		unrecorded := j.Done.Difference(j.Recorded)
+		for task, ok := unrecorded.NextSet(0); ok; task, ok = unrecorded.NextSet(task + 1) {
+			lt.c.completions.AddDone(id, int(task), now)
+		}
+	}
+}
+
+// completionsKnownMsg adds completed tasks of a job that another node knows of to the completion log.
+type completionsKnownMsg struct {
+	id    string
+	tasks completion.Tasks
+}
+
+func (m completionsKnownMsg) apply(c *Controller) {
+	now := time.Now()
+	for task := range m.tasks.All() {
+		c.completions.AddDone(m.id, task, now)
+	}
+}
+
 // isUnfinished reports whether some task of a job had certainly not completed stateLag ago: a task that is
 // on no machine, or one that a machine has reported as not exited, or was sent, since then.
 func (lt *leaderTerm) isUnfinished(j *cluster.Job, now time.Time) bool {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -237,10 +237,12 @@
 // stepped down.
 func (c *Controller) StepDowns() <-chan uint64 { return c.stepDowns }
 
-// endTerm ends the term of this node, if it leads, and discards its state.
+// endTerm ends the term of this node, if it leads, and discards its state. Only the completions that are
+// not recorded are kept, for requests to cancel their jobs.
 func (c *Controller) endTerm() {
 	if lt := c.leaderTerm; lt != nil {
 		lt.cancel()
+		lt.keepCompletions(time.Now())
 		c.leaderTerm, c.ledAt = nil, time.Now()
 		lt.readIndex.end()
 	}
--- a/internal/controller/finishedcancel_test.go
+++ b/internal/controller/finishedcancel_test.go
@@ -267,6 +267,28 @@
 	}
 }
 
+// The store rejects the leader alone, which hears of the end of a job, cannot write it and steps down. The
+// machine falls silent after that heartbeat, so only the former leader knows of the end.
+func TestFormerLeaderKeepsUnrecordedCompletions(t *testing.T) {
+	simulate(t, func(w *simulatedCluster) {
+		tn := newUserCluster(w, 1)
+		defer tn.close()
+		tn.submitUntilAccepted(1, spec(lateJob, 2))
+		time.Sleep(4 * time.Second)
+		rejectNode0(tn)
+		tn.completeJob(lateJob)
+		time.Sleep(500 * time.Millisecond)
+		muteFor(0, 1, 2)(tn)
+		w.unresponsive.Store(tn.agents[0].status.Machine, true)
+		for tn.awaitLeader() == 0 {
+			time.Sleep(50 * time.Millisecond)
+		}
+		tn.cancelUntilConfirmed(2, lateJob)
+		acceptNode0(tn)
+		tn.checkFinalPhases(map[string]string{lateJob: api.JobDone})
+	})
+}
+
 // A leader of the version in production is away, and the machine's heartbeat has shown the end to a node of
 // the current version, which must not cancel the job before it leads itself.
 func TestCancellationOfFinishedJobWhileOldLeaderIsAway(t *testing.T) {
