--- a/internal/loadtest/soak/checker.go
+++ b/internal/loadtest/soak/checker.go
@@ -22,14 +22,17 @@
 	// The five forms of forgotten: an accepted job gets 404; a repeated submission of it gets 400 or
 	// 422; for 90 s every poll for it fails while most others get answers; once all troubles are over,
 	// no question about it is answered for 75 s; it neither runs nor stays known.
-	ruleUnknown       rule = "forgotten, form 1"
-	ruleRejected      rule = "forgotten, form 2"
-	rulePollsFail     rule = "forgotten, form 3"
-	ruleNotAnswered   rule = "forgotten, form 4"
-	ruleNeverRan      rule = "forgotten, form 5"
-	ruleInvented      rule = "invented"
-	ruleNotDone       rule = "not_done"
-	ruleWentBack      rule = "went_back"
+	ruleUnknown     rule = "forgotten, form 1"
+	ruleRejected    rule = "forgotten, form 2"
+	rulePollsFail   rule = "forgotten, form 3"
+	ruleNotAnswered rule = "forgotten, form 4"
+	ruleNeverRan    rule = "forgotten, form 5"
+	ruleInvented    rule = "invented"
+	ruleNotDone     rule = "not_done"
+	ruleWentBack    rule = "went_back"
+	// ruleDoneCancelled is broken if a job is called cancelled although all its tasks had completed, and a
+	// controller had got heartbeats that show it, before its user asked to cancel it.
+	ruleDoneCancelled rule = "cancelled after it was done"
 	ruleNothingRan    rule = "nothing_ran"
 	ruleBeginsLate    rule = "begins late after troubles"
 	ruleNothingIsDone rule = "no job was done"
@@ -42,6 +45,8 @@
 	// maxPollGap is twice the interval of a user who waits for a job. If nobody asks for longer, the
 	// polls before and after are no spell in which every poll fails.
 	maxPollGap = 10 * time.Second
+	// stateLag is how far the state of a job that users are told may lag.
+	stateLag = 3 * time.Second
 	// beginLimit is how long after the troubles a job may wait for its first task.
 	beginLimit = 90 * time.Second
 )
@@ -84,6 +89,7 @@
 		c.checkAnswers(id)
 		c.checkPhases(id)
 		c.checkCancellation(id)
+		c.checkDoneCancelled(id)
 		c.checkProgress(id)
 	}
 	c.checkPollsFail()
@@ -262,6 +268,35 @@
 	}
 }
 
+// checkDoneCancelled checks that a job is not called cancelled if it was done before its user first asked.
+func (c *checker) checkDoneCancelled(id string) {
+	spec := c.history.jobs[id]
+	first := c.history.ended
+	for _, a := range c.answersOf[id] {
+		if a.operation == opCancel && a.sent.Before(first) {
+			first = a.sent
+		}
+	}
+	if spec == nil {
+		return
+	}
+	shown := map[int]bool{}
+	for _, run := range c.runsOf[id] {
+		if run.done && first.Sub(run.ended) > stateLag && !run.shownAt.IsZero() && run.shownAt.Before(first) {
+			shown[run.task] = true
+		}
+	}
+	if len(shown) < spec.Tasks {
+		return
+	}
+	for _, a := range c.answersOf[id] {
+		if a.isState() && a.phase == phaseCancelled {
+			c.report(ruleDoneCancelled, "%s is called cancelled by %s, and was done before", id, a.node)
+			return
+		}
+	}
+}
+
 // checkProgress checks that an accepted job is answered for, begins and ends after the troubles.
 func (c *checker) checkProgress(id string) {
 	accepted := c.acceptedAt(id)
--- a/internal/loadtest/soak/checker_test.go
+++ b/internal/loadtest/soak/checker_test.go
@@ -173,6 +173,13 @@
 	{"a task of a cancelled job starts late", ruleRanCancelled, func(h *history) {
 		h.runs = append(h.runs, ran(1, machineA, 26, 27, false))
 	}},
+	{"cancelled after all tasks were done", ruleDoneCancelled, func(h *history) {
+		h.runs = []*taskRun{ran(0, machineA, 2, 2.2, true), ran(1, machineA, 2, 2.4, true)}
+		for _, run := range h.runs {
+			run.shownAt = at(2.5)
+		}
+		h.answers[1] = told(opCancel, 6, statusOK, phaseCancelled)
+	}},
 	{"cancelled and then running", ruleWentBack, func(h *history) { h.answers[2].phase = "running" }},
 }
 
--- a/internal/loadtest/soak/history.go
+++ b/internal/loadtest/soak/history.go
@@ -57,8 +57,10 @@
 	started time.Time
 	// ended is when the task was off the machine, or zero while it is on it.
 	ended time.Time
-	// done is set if the task completed.
-	done bool
+	// done is set if the task completed. shownAt is when a controller first answered a heartbeat that shows
+	// it, or zero.
+	done    bool
+	shownAt time.Time
 }
 
 // onMachineAt reports whether the task was on its machine at a time.
@@ -127,3 +129,30 @@
 	defer h.mu.Unlock()
 	run.ended, run.done = time.Now(), done
 }
+
+// completionShown records that a controller has answered a heartbeat that shows a completed task.
+func (h *history) completionShown(run *taskRun) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if run.shownAt.IsZero() {
+		run.shownAt = time.Now()
+	}
+}
+
+// doneAt returns when the last task of a job completed, or the zero time if one has not.
+func (h *history) doneAt(spec *jobSpec) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var last time.Time
+	done := map[int]bool{}
+	for _, run := range h.runs {
+		if run.job == spec.ID && run.done && !done[run.task] {
+			done[run.task] = true
+			last = later(last, run.ended)
+		}
+	}
+	if len(done) < spec.Tasks {
+		return time.Time{}
+	}
+	return last
+}
--- a/internal/loadtest/soak/users.go
+++ b/internal/loadtest/soak/users.go
@@ -43,8 +43,14 @@
 	invalidShare = 0.08
 	unknownShare = 0.05
 	endedShare   = 0.1
+	// lateCancelShare is the share of jobs that their users cancel once they are done, unless they have been
+	// told so.
+	lateCancelShare = 0.3
 )
 
+// lateCancelDelay is how long after the end of a job such a user cancels it: longer than its state may lag.
+const lateCancelDelay = stateLag + 200*time.Millisecond
+
 // users submit jobs, ask about them, repeat and cancel them, at all nodes.
 type users struct {
 	site   *site
@@ -142,11 +148,13 @@
 	if random.chance(cancelShare) {
 		cancelAfter = random.intN(6)
 	}
+	cancelsLate := random.chance(lateCancelShare)
 	for poll := 0; ; poll++ {
 		if a := u.ask(opPoll, spec.ID); a.isFinal() {
 			break
 		}
-		if poll == cancelAfter && u.cancelUntilConfirmed(spec.ID) {
+		isLate := cancelsLate && u.hasBeenDone(spec, lateCancelDelay)
+		if (poll == cancelAfter || isLate) && u.cancelUntilConfirmed(spec.ID) {
 			u.ask(opPoll, spec.ID)
 			break
 		}
@@ -162,6 +170,12 @@
 	u.actAtRandom(spec)
 }
 
+// hasBeenDone reports whether all tasks of a job completed at least the given time ago.
+func (u *users) hasBeenDone(spec *jobSpec, since time.Duration) bool {
+	doneAt := u.site.history.doneAt(spec)
+	return !doneAt.IsZero() && time.Since(doneAt) >= since
+}
+
 // actAtRandom repeats a submission, repeats it with mistakes, or asks about a job that has ended or
 // never existed.
 func (u *users) actAtRandom(spec *jobSpec) {
--- a/internal/loadtest/soak/worker.go
+++ b/internal/loadtest/soak/worker.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"math"
 	"net"
 	"net/http"
@@ -49,6 +50,8 @@
 	heartbeat api.Heartbeat
 	// running holds the tasks on the machine, by reference, with the time at which they complete.
 	running map[string]*runningTask
+	// completed holds the completed tasks that the heartbeats show, by reference.
+	completed map[string]*taskRun
 	// acknowledged is when the last heartbeat that got a valid response was sent, or when the agent
 	// epoch began.
 	acknowledged time.Time
@@ -92,6 +95,7 @@
 		wake:         make(chan struct{}, 1),
 		done:         make(chan struct{}),
 		running:      map[string]*runningTask{},
+		completed:    map[string]*taskRun{},
 		acknowledged: time.Now(),
 		node:         st.random.intN(nodeCount),
 		heartbeat: api.Heartbeat{
@@ -177,6 +181,9 @@
 	if task := w.running[ref]; task != nil {
 		w.site.history.taskEnded(task.run, done)
 		delete(w.running, ref)
+		if done {
+			w.completed[ref] = task.run
+		}
 	}
 }
 
@@ -185,6 +192,7 @@
 	for ref := range w.running {
 		w.remove(ref, false)
 	}
+	clear(w.completed)
 	w.heartbeat.Tasks = []api.TaskStatus{}
 }
 
@@ -195,6 +203,7 @@
 	w.heartbeat.Seq++
 	body, err := json.Marshal(w.heartbeat)
 	epoch, node, sent, fault := w.heartbeat.AgentEpoch, w.node, time.Now(), w.fault
+	completed := slices.Collect(maps.Values(w.completed))
 	w.lastSent = sent
 	w.mu.Unlock()
 	if err != nil {
@@ -211,6 +220,9 @@
 	status, raw := w.post(node, body)
 	switch status {
 	case http.StatusOK:
+		for _, run := range completed {
+			w.site.history.completionShown(run)
+		}
 		return w.applyResponse(raw, epoch, sent)
 	case http.StatusMisdirectedRequest:
 		return w.redirect(raw)
@@ -327,6 +339,7 @@
 			w.heartbeat.Tasks[i].Phase, w.heartbeat.Tasks[i].Cause = api.TaskExited, api.CauseHalted
 		case command.Verb == api.VerbReap && i >= 0 && w.heartbeat.Tasks[i].Phase == api.TaskExited:
 			w.heartbeat.Tasks = slices.Delete(w.heartbeat.Tasks, i, i+1)
+			delete(w.completed, command.Task)
 		default:
 			continue
 		}
