--- a/internal/api/handlers.go
+++ b/internal/api/handlers.go
@@ -185,26 +185,26 @@
 }
 
 func (s *server) getJob(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), pollTimeout)
-	defer cancel()
-	id := r.PathValue("id")
-	if !ValidJobID(id) {
-		s.writeUnknownJob(w, id)
-		return
-	}
-	state, err := s.backend.Job(ctx, id)
-	s.writeJobState(w, id, state, err)
+	s.serveJob(w, r, pollTimeout, s.backend.Job)
 }
 
 func (s *server) cancelJob(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), cancelTimeout)
+	s.serveJob(w, r, cancelTimeout, s.backend.Cancel)
+}
+
+// serveJob serves a request that names a job and is answered with its state.
+func (s *server) serveJob(
+	w http.ResponseWriter, r *http.Request, timeout time.Duration,
+	find func(ctx context.Context, id string) (JobState, error),
+) {
+	ctx, cancel := context.WithTimeout(r.Context(), timeout)
 	defer cancel()
 	id := r.PathValue("id")
 	if !ValidJobID(id) {
 		s.writeUnknownJob(w, id)
 		return
 	}
-	state, err := s.backend.Cancel(ctx, id)
+	state, err := find(ctx, id)
 	s.writeJobState(w, id, state, err)
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -360,52 +360,38 @@
 	return &Client{addr: addr, pending: map[uint64]chan *Response{}}
 }
 
-// Job requests the state of a job.
-func (c *Client) Job(ctx context.Context, id string) (*JobStatus, error) {
-	resp, err := c.roundTrip(ctx, &Request{Kind: &Request_Job{Job: &JobQuery{Id: id}}})
+// query sends a request and returns the part of the response that get selects. The error is ErrUnavailable
+// if the peer's response does not have this part.
+func query[T any](ctx context.Context, c *Client, req *Request, get func(*Response) *T) (*T, error) {
+	resp, err := c.roundTrip(ctx, req)
 	if err != nil {
 		return nil, err
 	}
-	if resp.Job == nil {
+	answer := get(resp)
+	if answer == nil {
 		return nil, ErrUnavailable
 	}
-	return resp.Job, nil
+	return answer, nil
+}
+
+// Job requests the state of a job.
+func (c *Client) Job(ctx context.Context, id string) (*JobStatus, error) {
+	return query(ctx, c, &Request{Kind: &Request_Job{Job: &JobQuery{Id: id}}}, (*Response).GetJob)
 }
 
 // Completion asks what the peer knows about the completed tasks of a job.
 func (c *Client) Completion(ctx context.Context, q *CompletionQuery) (*CompletionStatus, error) {
-	resp, err := c.roundTrip(ctx, &Request{Kind: &Request_Completion{Completion: q}})
-	if err != nil {
-		return nil, err
-	}
-	if resp.Completion == nil {
-		return nil, ErrUnavailable
-	}
-	return resp.Completion, nil
+	return query(ctx, c, &Request{Kind: &Request_Completion{Completion: q}}, (*Response).GetCompletion)
 }
 
 // Ping requests the status of the peer.
 func (c *Client) Ping(ctx context.Context, p *Ping) (*Pong, error) {
-	resp, err := c.roundTrip(ctx, &Request{Kind: &Request_Ping{Ping: p}})
-	if err != nil {
-		return nil, err
-	}
-	if resp.Pong == nil {
-		return nil, ErrUnavailable
-	}
-	return resp.Pong, nil
+	return query(ctx, c, &Request{Kind: &Request_Ping{Ping: p}}, (*Response).GetPong)
 }
 
 // ForwardHeartbeat forwards a machine's heartbeat.
 func (c *Client) ForwardHeartbeat(ctx context.Context, r *Report) (*ReportAnswer, error) {
-	resp, err := c.roundTrip(ctx, &Request{Kind: &Request_Report{Report: r}})
-	if err != nil {
-		return nil, err
-	}
-	if resp.Report == nil {
-		return nil, ErrUnavailable
-	}
-	return resp.Report, nil
+	return query(ctx, c, &Request{Kind: &Request_Report{Report: r}}, (*Response).GetReport)
 }
 
 // Resign notifies the peer that this node has stepped down as leader.
@@ -416,14 +402,7 @@
 
 // Loans sends loan entries to a controller of another cell.
 func (c *Client) Loans(ctx context.Context, r *LoanRequest) (*LoanAnswer, error) {
-	resp, err := c.roundTrip(ctx, &Request{Kind: &Request_Loans{Loans: r}})
-	if err != nil {
-		return nil, err
-	}
-	if resp.Loans == nil {
-		return nil, ErrUnavailable
-	}
-	return resp.Loans, nil
+	return query(ctx, c, &Request{Kind: &Request_Loans{Loans: r}}, (*Response).GetLoans)
 }
 
 // Vote requests the peer's vote for this node's lease as leader of a term, and reports whether the
