Soak: a completion that its machine has forgotten can't be told

The leader that had heard of the end of a job was killed before it could write, and the machine's lease expired, so that it forgot its tasks (PROTOCOL, "Leases": "the worker kills all its tasks, forgets them"). Its agent epoch in the logs goes from 1 to 2. Nobody could know of the end any more, and the job was cancelled.

Change: the new rule doesn't count a job with such a task.

--- a/internal/loadtest/soak/checker.go
+++ b/internal/loadtest/soak/checker.go
@@ -31,7 +31,8 @@
 	ruleNotDone     rule = "not_done"
 	ruleWentBack    rule = "went_back"
 	// ruleDoneCancelled is broken if a job is called cancelled although all its tasks had completed, and a
-	// controller had got heartbeats that show it, before its user asked to cancel it.
+	// controller had got heartbeats that show it, before its user asked to cancel it. It is not if a machine
+	// has forgotten a completed task before it was recorded: the controller may have ended since.
 	ruleDoneCancelled rule = "cancelled after it was done"
 	ruleNothingRan    rule = "nothing_ran"
 	ruleBeginsLate    rule = "begins late after troubles"
@@ -282,7 +283,8 @@
 	}
 	shown := map[int]bool{}
 	for _, run := range c.runsOf[id] {
-		if run.done && first.Sub(run.ended) > stateLag && !run.shownAt.IsZero() && run.shownAt.Before(first) {
+		isShown := !run.shownAt.IsZero() && run.shownAt.Before(first) && run.forgottenAt.IsZero()
+		if run.done && isShown && first.Sub(run.ended) > stateLag {
 			shown[run.task] = true
 		}
 	}
--- a/internal/loadtest/soak/checker_test.go
+++ b/internal/loadtest/soak/checker_test.go
@@ -209,6 +209,23 @@
 	}
 }
 
+// What no controller and no machine knows any more cannot be told.
+func TestCheckerAllowsForgottenCompletions(t *testing.T) {
+	h := cancelledHistory()
+	h.runs = []*taskRun{ran(0, machineA, 1, 1.2, true), ran(1, machineA, 1, 1.2, true)}
+	for _, run := range h.runs {
+		run.shownAt = at(1.5)
+	}
+	h.answers[1] = told(opCancel, 5, statusOK, phaseCancelled)
+	checkReports(t, h, ruleDoneCancelled)
+	h.runs[1].forgottenAt = at(4)
+	for _, v := range check(testSite, h) {
+		if v.rule == ruleDoneCancelled {
+			t.Errorf("got %v, want none", v)
+		}
+	}
+}
+
 func TestCheckerReportsNothingForGoodHistories(t *testing.T) {
 	if violations := check(testSite, goodHistory()); len(violations) > 0 {
 		t.Errorf("got %v, want none", violations)
--- a/internal/loadtest/soak/history.go
+++ b/internal/loadtest/soak/history.go
@@ -58,9 +58,9 @@
 	// ended is when the task was off the machine, or zero while it is on it.
 	ended time.Time
 	// done is set if the task completed. shownAt is when a controller first answered a heartbeat that shows
-	// it, or zero.
-	done    bool
-	shownAt time.Time
+	// it, or zero. forgottenAt is when its machine forgot it without a command, or zero.
+	done                 bool
+	shownAt, forgottenAt time.Time
 }
 
 // onMachineAt reports whether the task was on its machine at a time.
@@ -139,6 +139,14 @@
 	}
 }
 
+// completionForgotten records that a machine no longer shows a completed task, since its lease has expired
+// or it has stopped.
+func (h *history) completionForgotten(run *taskRun) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	run.forgottenAt = time.Now()
+}
+
 // doneAt returns when the last task of a job completed, or the zero time if one has not.
 func (h *history) doneAt(spec *jobSpec) time.Time {
 	h.mu.Lock()
--- a/internal/loadtest/soak/worker.go
+++ b/internal/loadtest/soak/worker.go
@@ -192,6 +192,9 @@
 	for ref := range w.running {
 		w.remove(ref, false)
 	}
+	for _, run := range w.completed {
+		w.site.history.completionForgotten(run)
+	}
 	clear(w.completed)
 	w.heartbeat.Tasks = []api.TaskStatus{}
 }
