Test: a late heartbeat is copied under the machine's lock

Cause: TestRepeatedCancellationsOfFinishedJobAgree read and shared the state of a machine that a goroutine changes.

Change: the heartbeat is copied under the lock, and once for each delivery.

--- a/internal/controller/finishedcancel_test.go
+++ b/internal/controller/finishedcancel_test.go
@@ -379,8 +379,10 @@
 		defer tn.close()
 		tn.submitUntilAccepted(1, spec(lateJob, 2))
 		time.Sleep(4 * time.Second)
-		old := tn.agents[0].status
-		old.Tasks = append([]api.TaskStatus(nil), old.Tasks...)
+		agent := tn.agents[0]
+		agent.mu.Lock()
+		old := copyHeartbeat(&agent.status)
+		agent.mu.Unlock()
 		tn.crash(0)
 		tn.completeJob(lateJob)
 		time.Sleep(cancelDelay)
@@ -388,7 +390,8 @@
 			tn.runInBackground(func() {
 				time.Sleep(time.Duration(i) * 400 * time.Millisecond)
 				_ = tn.checker.cancel(tn.nodeAt(i), lateJob)
-				_, _ = tn.agents[0].deliver(tn.nodeAt(i+1), &old)
+				late := copyHeartbeat(&old)
+				_, _ = agent.deliver(tn.nodeAt(i+1), &late)
 			})
 		}
 		time.Sleep(5 * time.Second)
