Fix: a poll doesn't call a running job pending when the leader can't be asked

Cause: the records show that a job hasn't ended, and not whether its tasks run. records.Lookup gave "pending" for each active record, and findJob took that as conclusive. A new leader did the same before its machines reported.

Change: a lookup tells apart active jobs, those that wait for another one and those that have ended. The leader tells "not known" for jobs that may run on machines it hasn't heard of, within a lease of its beginning, or on machines silent for a lease.

--- a/internal/cluster/attempt.go
+++ b/internal/cluster/attempt.go
@@ -47,6 +47,10 @@
 	ExitHandled bool
 }
 
+// IsRunning reports whether a task in the given phase of a heartbeat runs, from the point of view of its
+// job's users.
+func IsRunning(phase string) bool { return phase == api.TaskRunning || phase == api.TaskSaving }
+
 // StartInFlight reports whether the response that carries the start may still be in flight to the
 // worker agent when a solicited heartbeat is built. It does not apply to agent-initiated
 // heartbeats: the agent sends one only after it has applied the last response or that has timed
--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -217,7 +217,7 @@
 	}
 	st := api.JobState{ID: j.Spec.ID, Phase: api.JobPending, Done: j.DoneCount}
 	for _, a := range j.ActiveAttempts {
-		if a.Phase == api.TaskRunning || a.Phase == api.TaskSaving {
+		if IsRunning(a.Phase) {
 			st.Running++
 		}
 	}
--- a/internal/controller/cancelrequest.go
+++ b/internal/controller/cancelrequest.go
@@ -11,7 +11,6 @@
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/cluster"
 	"example.org/ivytrestle/internal/completion"
-	"example.org/ivytrestle/internal/config"
 	"example.org/ivytrestle/internal/records"
 )
 
@@ -144,9 +143,7 @@
 
 // mayCancelAtOnce reports whether a job cannot have been finished for stateLag, or another cell decides.
 func (cc *completionCheck) mayCancelAtOnce(job records.ActiveJob) bool {
-	site := cc.controller.Settings.Site
-	clockOffset := config.Duration(2 * site.ClockOffsetMs / 1000) // between two nodes
-	return job.OtherCellDecides || time.Since(job.Accepted) < stateLag-clockOffset
+	return job.OtherCellDecides || cc.controller.wasAcceptedLately(job.Accepted)
 }
 
 // askSelf asks this node, which knows nothing after the end of its owner goroutine.
@@ -294,9 +291,9 @@
 	peers := cc.controller.Peers
 	status, err := peers.Completion(ctx, node, cc.id, cc.done)
 	if errors.Is(err, ErrUnsupported) && node == leader {
-		var state api.JobState
-		if state, err = peers.Job(ctx, node, cc.id); err == nil {
-			return cc.statusFromState(state)
+		var answer JobAnswer
+		if answer, err = peers.Job(ctx, node, JobQuery{ID: cc.id}); err == nil {
+			return cc.statusFromState(answer.State)
 		}
 		status.Leads = true
 	}
--- a/internal/controller/completionquery.go
+++ b/internal/controller/completionquery.go
@@ -143,13 +143,16 @@
 	}
 }
 
-// keepCompletions adds the completed tasks whose completion is not recorded to this node's completion log.
-// Their machines may not be able to show them to the next leader.
+// keepCompletions adds the completed tasks whose completion is not recorded to this node's completion log, as
+// their machines may not be able to show them to the next leader, and the machines of other tasks.
 func (lt *leaderTerm) keepCompletions(now time.Time) {
 	for id, j := range lt.jobs {
 		if j.Guest != nil {
 			continue // its home cell decides on its cancellation
 		}
+		for _, addr := range unfinishedAddrs(j) {
+			lt.c.completions.AddUnfinished(id, addr, now)
+		}
 		unrecorded := j.Done.Difference(j.Recorded)
 		for task, ok := unrecorded.NextSet(0); ok; task, ok = unrecorded.NextSet(task + 1) {
 			lt.c.completions.AddDone(id, int(task), now)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -38,8 +38,9 @@
 
 // PeerClient sends requests to the other nodes.
 type PeerClient interface {
-	// Job returns the state of a job, or api.ErrUnavailable if the node cannot answer.
-	Job(ctx context.Context, node, id string) (api.JobState, error)
+	// Job returns a node's answer to a query about a job. The error is api.ErrUnknownJob if the job does
+	// not exist, and api.ErrUnavailable if the node cannot answer.
+	Job(ctx context.Context, node string, q JobQuery) (JobAnswer, error)
 	// Completion returns what a node knows about the completed tasks of a job. known are those that the
 	// caller knows. The error is ErrUnsupported if the node's version does not support the query.
 	Completion(ctx context.Context, node, id string, known completion.Tasks) (CompletionStatus, error)
@@ -96,6 +97,10 @@
 	machineTypes machineTypeCache
 	// answers decides what users are told about jobs.
 	answers *userAnswers
+	// leaderStates holds what the leader has lately told this node about jobs.
+	leaderStates leaderStates
+	// phaseProbes has an element for each job whose machines are being probed for a poll.
+	phaseProbes chan struct{}
 	// completionChecks has an element for each check of a completionCheck that takes more than one query.
 	completionChecks chan struct{}
 	// unready makes the health check fail, so that users are routed to other nodes.
@@ -168,6 +173,8 @@
 		cancellations: cancellation.NewLog(site.Workers, site.Limits, now),
 		completions:   completion.NewLog(site.Workers, site.Limits),
 		ledAt:         now,
+		leaderStates:  newLeaderStates(),
+		phaseProbes:   make(chan struct{}, min(maxPhaseProbes, maxConcurrentDials(site.Limits.FDLimit))),
 
 		completionChecks: make(chan struct{}, min(maxCompletionChecks, maxConcurrentDials(site.Limits.FDLimit))),
 	}
--- a/internal/controller/fakecloud_test.go
+++ b/internal/controller/fakecloud_test.go
@@ -83,6 +83,13 @@
 	return nil
 }
 
+// setRejectTerminate sets whether every termination request fails.
+func (f *fakeCloud) setRejectTerminate(reject bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rejectTerminate = reject
+}
+
 // takeBack takes machines back without a notice.
 func (f *fakeCloud) takeBack(names ...string) {
 	f.mu.Lock()
--- a/internal/controller/joblookups.go
+++ b/internal/controller/joblookups.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/records"
 )
 
 // jobLookups reads jobs from the store for users' requests. Only a few lookups run at a time; the
@@ -51,22 +52,22 @@
 	current, next []lookupMsg
 }
 
-// lookup returns a job's state from the store. Polls of the job have failed since failingSince, or the
-// last one was answered if that is zero.
-func (c *Controller) lookup(ctx context.Context, id string, failingSince time.Time) (api.JobState, error) {
+// lookup reads a job's records. Polls of the job have failed since failingSince, or the last one was answered
+// if that is zero.
+func (c *Controller) lookup(ctx context.Context, id string, failingSince time.Time) (records.JobRecord, error) {
 	m := lookupMsg{id: id, failingSince: failingSince, reply: make(chan lookupReply, 1)}
 	m.deadline, _ = ctx.Deadline()
 	reply, err := request(ctx, c, m, m.reply)
 	if err != nil {
-		return api.JobState{}, err
+		return records.JobRecord{}, err
 	}
-	if reply.err == nil && !reply.found {
-		return reply.state, api.ErrUnknownJob
+	if reply.err == nil && reply.record.Status == records.Absent {
+		return reply.record, api.ErrUnknownJob
 	}
-	return reply.state, reply.err
+	return reply.record, reply.err
 }
 
-// lookupMsg requests a job's state from the store.
+// lookupMsg requests a job's records.
 type lookupMsg struct {
 	id string
 	// deadline is when the request times out, or zero if it does not.
@@ -77,9 +78,8 @@
 
 // lookupReply is the result of a lookup.
 type lookupReply struct {
-	state api.JobState
-	found bool
-	err   error
+	record records.JobRecord
+	err    error
 }
 
 func (m lookupMsg) apply(c *Controller) { c.lookups.add(m) }
@@ -182,7 +182,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), lookupTimeout)
 	defer cancel()
 	var reply lookupReply
-	reply.state, reply.found, reply.err = q.controller.records.Lookup(ctx, id)
+	reply.record, reply.err = q.controller.records.Lookup(ctx, id)
 	q.controller.sendOrDrop(context.Background(), lookupDoneMsg{id, reply})
 }
 
@@ -193,8 +193,8 @@
 }
 
 func (m lookupDoneMsg) apply(c *Controller) {
-	if m.reply.err == nil && m.reply.found && m.reply.state.Final() {
-		finalStateMsg{m.reply.state}.apply(c)
+	if m.reply.err == nil && m.reply.record.Status == records.Ended {
+		finalStateMsg{m.reply.record.Final}.apply(c)
 	}
 	c.lookups.finish(m.id, m.reply)
 }
--- /dev/null
+++ b/internal/controller/leaderphase.go
@@ -0,0 +1,70 @@
+package controller
+
+import (
+	"time"
+
+	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/cluster"
+)
+
+// jobState returns a job's state as shown to users. It returns false if heartbeats do not show whether a task
+// of the job runs.
+func (lt *leaderTerm) jobState(j *cluster.Job, now time.Time) (state api.JobState, known bool) {
+	state = j.State()
+	switch {
+	case j.Lent != nil || state.Done > 0 || len(j.DependsOn) > 0:
+		return state, true
+	case state.Running > 0:
+		return state, lt.isHeardRunning(j, now)
+	}
+	return state, !lt.mayRunUnheard(j, now)
+}
+
+// isHeardRunning reports whether a machine that has sent a heartbeat within its lease runs a task of a job.
+// Without one, the machines have ended their tasks, unless another node renews their leases.
+func (lt *leaderTerm) isHeardRunning(j *cluster.Job, now time.Time) bool {
+	lease := lt.c.Settings.Site.Workers.Lease()
+	for _, a := range j.ActiveAttempts {
+		if cluster.IsRunning(a.Phase) && now.Sub(a.Machine.LastHeartbeat) <= lease {
+			return true
+		}
+	}
+	return false
+}
+
+// mayRunUnheard reports whether a task of a job that no heartbeat shows may run: on a machine that is silent
+// since the start was sent, or, within a lease of the beginning of the term, on one that has not acknowledged
+// the term.
+func (lt *leaderTerm) mayRunUnheard(j *cluster.Job, now time.Time) bool {
+	isOlder := j.ModRevision <= lt.term.ModRevision
+	if lt.unfenced > 0 && isOlder && now.Sub(lt.startedAt) < lt.c.Settings.Site.Workers.Lease() {
+		return true
+	}
+	for _, a := range j.ActiveAttempts {
+		if !a.Exited && now.Sub(a.Machine.LastHeartbeat) > lt.detector.HeartbeatTimeout() {
+			return true
+		}
+	}
+	return false
+}
+
+// stateWhileActive returns a job's state that holds unless the job has ended, or nil if this node does not
+// lead or does not know it. No task has started of a job that this leader has not heard of yet: it was
+// accepted after the leader read all records.
+func (c *Controller) stateWhileActive(id string, now time.Time) *api.JobState {
+	lt := c.leaderTerm
+	if lt == nil || !lt.loaded || !c.holdsLease() {
+		return nil
+	}
+	state, known := pendingState(id), true
+	if j := lt.jobs[id]; j != nil {
+		if j.Guest != nil {
+			return nil
+		}
+		state, known = lt.jobState(j, now)
+	}
+	if !known {
+		return nil
+	}
+	return &state
+}
--- a/internal/controller/polls.go
+++ b/internal/controller/polls.go
@@ -36,56 +36,60 @@
 	if reply.answered {
 		return reply.state, fromMemory, nil
 	}
+	state, source, err := c.queryJob(ctx, id, reply, failingSince)
+	if err != nil {
+		state, err = c.assumePending(id, failingSince, err)
+	}
+	return state, source, err
+}
+
+// queryJob finds a job's state for a poll that this node cannot answer from its memory.
+func (c *Controller) queryJob(
+	ctx context.Context, id string, reply pollReply, failingSince time.Time,
+) (api.JobState, answerSource, error) {
+	if reply.phaseUnknown {
+		state, err := c.phaseFromMachines(ctx, id, reply.addrs)
+		return state, fromMachine, err
+	}
 	var steps []pollStep
 	if reply.leader != "" && c.Peers != nil {
-		steps = append(steps, c.peerStep(fromLeader, reply.leader, id))
+		steps = append(steps, c.peerStep(fromLeader, reply.leader, id, reply))
 	}
 	if !reply.kvUnreachable {
-		steps = append(steps, c.storeStep(id, failingSince))
+		steps = append(steps, c.storeStep(id, reply, failingSince))
 	}
 	for _, node := range reply.otherNodes {
-		steps = append(steps, c.peerStep(fromPeer, node, id))
+		steps = append(steps, c.peerStep(fromPeer, node, id, reply))
+	}
+	state, source, err := runPollSteps(ctx, steps)
+	if errors.Is(err, errLeaderPhaseUnknown) {
+		if state, err := c.phaseFromMachines(ctx, id, reply.addrs); err == nil {
+			return state, fromMachine, nil
+		}
 	}
-	return runPollSteps(ctx, steps)
+	return state, source, err
 }
 
-// isConclusive reports whether a query that returned err has found the job's state, or has found that
-// the job does not exist.
-func isConclusive(err error) bool { return err == nil || errors.Is(err, api.ErrUnknownJob) }
+// isConclusive reports whether a query that returned err has found the job's state, or has found that the
+// job does not exist, or that not even the leader knows its phase.
+func isConclusive(err error) bool {
+	return err == nil || errors.Is(err, api.ErrUnknownJob) || errors.Is(err, errLeaderPhaseUnknown)
+}
 
 // storeStep returns the step of a poll that reads the store.
-func (c *Controller) storeStep(id string, failingSince time.Time) pollStep {
+func (c *Controller) storeStep(id string, reply pollReply, failingSince time.Time) pollStep {
 	return pollStep{fromStore, "store", lookupDelay, func(ctx context.Context) (api.JobState, error) {
-		return c.lookup(ctx, id, failingSince)
+		return c.recordedState(ctx, id, reply, failingSince)
 	}}
 }
 
 // peerStep returns the step of a poll that queries another node.
-func (c *Controller) peerStep(source answerSource, node, id string) pollStep {
+func (c *Controller) peerStep(source answerSource, node, id string, reply pollReply) pollStep {
 	return pollStep{source, "node " + node, peerQueryDelay, func(ctx context.Context) (api.JobState, error) {
-		state, err := c.Peers.Job(ctx, node, id)
-		if err == nil && state.Final() {
-			return state, c.publishFinalState(ctx, state)
-		}
-		return state, err
+		return c.queryNode(ctx, source, node, id, reply)
 	}}
 }
 
-// PeerJob responds to another node's query: from memory if possible, otherwise from the store. It
-// queries no other node.
-func (c *Controller) PeerJob(ctx context.Context, id string) (api.JobState, error) {
-	reply, err := c.poll(ctx, id)
-	switch {
-	case err != nil:
-		return api.JobState{}, err
-	case reply.answered:
-		return reply.state, nil
-	case reply.kvUnreachable || reply.unconfirmed:
-		return api.JobState{}, api.ErrUnavailable // the other node reads the store itself
-	}
-	return c.lookup(ctx, id, time.Time{})
-}
-
 // poll requests a job's state from the owner goroutine.
 func (c *Controller) poll(ctx context.Context, id string) (pollReply, error) {
 	m := &pollMsg{id: id, reply: make(chan pollReply, 1)}
@@ -99,8 +103,18 @@
 	state api.JobState
 	// answered is set if state is the response to the poll.
 	answered bool
+	// phaseUnknown is set if this node leads, the job has not ended, and heartbeats do not show whether any
+	// of its tasks runs.
+	phaseUnknown bool
+	// whileActive is the job's state in the memory of this node, which leads. It holds unless the job has
+	// ended, which its records show. It is nil if it is not known.
+	whileActive *api.JobState
+	// addrs are the addresses of machines that have lately shown unfinished tasks of the job.
+	addrs []string
 	// leader is the node to query first, or "".
 	leader string
+	// leaderSettled is set if the leader has had time to hear of the tasks on its machines.
+	leaderSettled bool
 	// otherNodes are other reachable nodes to query; they can reach the store.
 	otherNodes []string
 	// kvUnreachable is set while this node cannot reach the store.
@@ -128,15 +142,22 @@
 		c.leaderTerm.readIndex.enqueue(m)
 		return
 	}
-	m.reply <- c.whereToLookUp()
+	m.reply <- c.whereToLookUp(m.id)
 }
 
 // whereToLookUp returns the reply to a poll that this node cannot answer from its memory.
-func (c *Controller) whereToLookUp() pollReply {
+func (c *Controller) whereToLookUp(id string) pollReply {
 	now := time.Now()
-	reply := pollReply{kvUnreachable: !c.membership.KVReachable}
+	reply := pollReply{
+		whileActive:   c.stateWhileActive(id, now),
+		addrs:         c.completions.Addrs(id),
+		kvUnreachable: !c.membership.KVReachable,
+	}
 	if c.leaderTerm == nil {
 		reply.leader = c.currentLeader(now)
+		member := c.membership.Members[reply.leader]
+		reply.leaderSettled = member.IsReachable(now) && member.Term > 0 &&
+			now.Sub(member.TermSeenAt) >= c.Settings.Site.Workers.Lease()
 	}
 	for name, member := range c.membership.Members {
 		if name != reply.leader && member.IsReachable(now) && member.KVReachableFor > 0 {
@@ -162,7 +183,7 @@
 	j := lt.jobs[id]
 	switch {
 	case j == nil || j.Guest != nil:
-		return lt.c.whereToLookUp()
+		return lt.c.whereToLookUp(id)
 	case j.CancelPending:
 		// The cancellation of a job that it depends on is on record and final. So users get the
 		// response before the derived cancellation is written: one cancellation may cause many of
@@ -172,7 +193,13 @@
 		// The store must be read in both cases. If the job is ending, other nodes may already read
 		// its terminal record. While dependencies are unresolved, one that is not in memory may be
 		// cancelled, and an earlier leader or another node may have reported this job as cancelled.
-		return lt.c.whereToLookUp()
+		return lt.c.whereToLookUp(id)
+	}
+	state, known := lt.jobState(j, time.Now())
+	if !known {
+		reply := lt.c.whereToLookUp(id)
+		reply.phaseUnknown = true
+		return reply
 	}
-	return pollReply{state: j.State(), answered: true}
+	return pollReply{state: state, answered: true}
 }
--- a/internal/controller/pollsteps.go
+++ b/internal/controller/pollsteps.go
@@ -60,6 +60,9 @@
 			return result.state, result.step.source, result.err
 		case received:
 			p.running--
+			if result.step.source == fromStore && errors.Is(result.err, errPhaseUnknown) {
+				p.waiting = nil // the step has asked the other nodes
+			}
 			p.failures = append(p.failures, fmt.Errorf("%s: %w", result.step.name, result.err))
 		}
 	}
--- a/internal/controller/readindex.go
+++ b/internal/controller/readindex.go
@@ -127,7 +127,7 @@
 // answered from the store like at any other node.
 func (c *Controller) replyUnconfirmed(polls []*pollMsg) {
 	for _, poll := range polls {
-		reply := c.whereToLookUp()
+		reply := c.whereToLookUp(poll.id)
 		reply.unconfirmed = true
 		poll.reply <- reply
 	}
--- a/internal/controller/recordwrites.go
+++ b/internal/controller/recordwrites.go
@@ -151,22 +151,20 @@
 	recordStore := records.Records{Store: lt.c.Store}
 	for lt.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(lt.ctx, outcomeReadTimeout)
-		state, found, err := recordStore.Lookup(ctx, id)
+		rec, err := recordStore.Lookup(ctx, id)
 		cancel()
 		if err == nil {
-			lt.sendToOwner(outcomeResolvedMsg{leaderTerm: lt, id: id, state: state, found: found})
+			lt.sendToOwner(outcomeResolvedMsg{leaderTerm: lt, record: rec})
 			return
 		}
 		sleep(lt.ctx, outcomeRetryInterval)
 	}
 }
 
-// outcomeResolvedMsg carries a job's state as read from the store.
+// outcomeResolvedMsg carries the records of a job.
 type outcomeResolvedMsg struct {
 	leaderTerm *leaderTerm
-	id         string
-	state      api.JobState
-	found      bool
+	record     records.JobRecord
 }
 
 func (m outcomeResolvedMsg) apply(c *Controller) {
@@ -176,14 +174,14 @@
 	}
 	lt.recordWriter.Resolved()
 	defer lt.resolveNextOutcome()
-	j := lt.jobs[m.id]
+	j, final := lt.jobs[m.record.ID], m.record.Final
 	if j == nil || j.Ended {
 		return
 	}
 	switch {
-	case m.found && m.state.Phase == api.JobDone:
+	case final.Phase == api.JobDone:
 		lt.jobFinished(j)
-	case m.found && m.state.Phase == api.JobCancelled && !m.state.DerivedCancel:
+	case final.Phase == api.JobCancelled && !final.DerivedCancel:
 		lt.cancelJob(j)
 	case j.CancelPending:
 		lt.dependencies.pendingCancels = append(lt.dependencies.pendingCancels, j)
--- a/internal/controller/storedjobs.go
+++ b/internal/controller/storedjobs.go
@@ -5,13 +5,22 @@
 	"errors"
 
 	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/records"
 )
 
 // RecordedJob implements api.Backend. It reads the job from the store.
 func (c *Controller) RecordedJob(ctx context.Context, id string) (api.JobState, error) {
 	answer := c.answers.begin(repeatRequest, id)
-	state, err := c.lookup(ctx, id, answer.failingSince)
-	return answer.decide(fromStore, state, err)
+	record, err := c.lookup(ctx, id, answer.failingSince)
+	return answer.decide(fromStore, stateOfRepeated(record), err)
+}
+
+// stateOfRepeated returns the state of a job that was submitted again, as its records show it.
+func stateOfRepeated(record records.JobRecord) api.JobState {
+	if record.Status == records.Ended {
+		return record.Final
+	}
+	return pendingState(record.ID)
 }
 
 // finalStateMsg carries a job's final state that this node has read or written. The leader's memory
--- a/internal/controller/submissions.go
+++ b/internal/controller/submissions.go
@@ -16,19 +16,25 @@
 // the others.
 func (c *Controller) Submit(ctx context.Context, spec *api.JobSpec) (api.JobState, bool, error) {
 	answer := c.answers.begin(submitRequest, spec.ID)
-	state, created, err := c.accept(ctx, spec)
+	record, created, err := c.accept(ctx, spec, time.Now())
 	if created && answer.acknowledged {
 		answer.contradicted(fromStore) // its records were lost
 	}
+	state := stateOfRepeated(record)
+	if err == nil && state.Final() {
+		err = c.publishFinalState(ctx, state)
+	}
 	state, err = answer.decide(fromStore, state, err)
 	return state, created, err
 }
 
-// accept writes the active record of a job that can run.
-func (c *Controller) accept(ctx context.Context, spec *api.JobSpec) (api.JobState, bool, error) {
+// accept writes the active record of a job that can run, or returns the records of a job that exists.
+func (c *Controller) accept(
+	ctx context.Context, spec *api.JobSpec, now time.Time,
+) (records.JobRecord, bool, error) {
 	types := c.machineTypes.load()
 	if types == nil {
-		return api.JobState{}, false, api.ErrUnavailable
+		return records.JobRecord{}, false, api.ErrUnavailable
 	}
 	reason := unschedulableReason(spec, c.Settings.Site.Teams, types)
 	if reason == "" && !records.JobFits(spec, c.Settings.Site.State.ValueKB) {
@@ -36,17 +42,14 @@
 		reason = "more names than a record holds"
 	}
 	if reason != "" {
-		return api.JobState{}, false, &api.UnschedulableError{Reason: reason}
+		return records.JobRecord{}, false, &api.UnschedulableError{Reason: reason}
 	}
-	st, created, err := c.records.Accept(ctx, spec, time.Now())
+	record, created, err := c.records.Accept(ctx, spec, now)
 	var unknown *records.UnknownDependencyError
 	if errors.As(err, &unknown) {
 		err = &api.UnschedulableError{Reason: unknown.Error()}
 	}
-	if err == nil && st.Final() {
-		err = c.publishFinalState(ctx, st)
-	}
-	return st, created, err
+	return record, created, err
 }
 
 // unschedulableReason returns why a job can never be scheduled, or "" if it can.
--- a/internal/controller/useranswers.go
+++ b/internal/controller/useranswers.go
@@ -29,10 +29,11 @@
 
 // The sources of answers.
 const (
-	fromMemory answerSource = "memory"
-	fromLeader answerSource = "leader"
-	fromStore  answerSource = "store"
-	fromPeer   answerSource = "peer"
+	fromMemory  answerSource = "memory"
+	fromLeader  answerSource = "leader"
+	fromStore   answerSource = "store"
+	fromPeer    answerSource = "peer"
+	fromMachine answerSource = "machine"
 )
 
 // userAnswers decides what the users of this node are told about jobs. It is the only source of a
@@ -61,6 +62,8 @@
 // answerCounters counts the answers since the process began.
 type answerCounters struct {
 	answered, unknown, rejected, unavailable, contradictions atomic.Int64
+	// unknownPhases and assumedPhases are those of PhaseStatus.
+	unknownPhases, assumedPhases atomic.Int64
 	// checkedCancels, finishedCancels and undecidedCancels are those of CancellationStatus.
 	checkedCancels, finishedCancels, undecidedCancels atomic.Int64
 }
@@ -122,6 +125,9 @@
 		return state, p.decideUnknown(source, err)
 	case !isUnschedulable(err): // else the job is yet to be looked up, as repeatRequest
 		a.counts.unavailable.Add(1)
+		if errors.Is(err, errPhaseUnknown) {
+			a.counts.unknownPhases.Add(1)
+		}
 		p.pollFailed(err)
 	}
 	return state, err
@@ -201,10 +207,19 @@
 	Contradictions int64 `json:"contradictions"`
 	// FailingJobs is the number of jobs whose last poll failed.
 	FailingJobs   int                `json:"failing_jobs"`
+	Phases        PhaseStatus        `json:"phases"`
 	Lookups       LookupStatus       `json:"lookups"`
 	Cancellations CancellationStatus `json:"cancellations"`
 }
 
+// PhaseStatus counts requests about jobs that had not ended and of which nothing showed whether they run.
+type PhaseStatus struct {
+	// Unknown counts those that were to be repeated.
+	Unknown int64 `json:"unknown"`
+	// Assumed counts those that were answered as pending after maxPhaseWait.
+	Assumed int64 `json:"assumed"`
+}
+
 // CancellationStatus counts requests to cancel a job for which the leader's answer did not suffice.
 type CancellationStatus struct {
 	// Checked counts all of them.
@@ -240,6 +255,7 @@
 		Unavailable:    counts.unavailable.Load(),
 		Contradictions: counts.contradictions.Load(),
 		FailingJobs:    failing,
+		Phases:         PhaseStatus{Unknown: counts.unknownPhases.Load(), Assumed: counts.assumedPhases.Load()},
 		Lookups: LookupStatus{
 			Running:   c.lookups.running,
 			Queued:    len(c.lookups.queue),
--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -18,7 +18,7 @@
 type cellHandler struct{ c *controller.Controller }
 
 // Job implements peer.Handler.
-func (cellHandler) Job(context.Context, string) (*peer.JobStatus, error) {
+func (cellHandler) Job(context.Context, *peer.JobQuery) (*peer.JobStatus, error) {
 	return nil, peer.ErrUnavailable
 }
 
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -22,25 +22,55 @@
 // peerRequestTimeout bounds the handling of a request of another controller, of this or another cell.
 const peerRequestTimeout = 1200 * time.Millisecond
 
+// scopes maps the scope of a query about a job to its value in messages.
+var scopes = map[controller.QueryScope]peer.JobQuery_Scope{
+	controller.RecordsScope: peer.JobQuery_RECORDS,
+	controller.LeaderScope:  peer.JobQuery_LEADER,
+	controller.PhaseScope:   peer.JobQuery_PHASE,
+	controller.ClusterScope: peer.JobQuery_CLUSTER,
+}
+
+// certainties maps the certainty of an answer about a job to its value in messages.
+var certainties = map[controller.Certainty]peer.JobStatus_Certainty{
+	controller.CertaintyUnspecified: peer.JobStatus_UNSPECIFIED,
+	controller.Confirmed:            peer.JobStatus_CONFIRMED,
+	controller.WhileActive:          peer.JobStatus_WHILE_ACTIVE,
+	controller.PhaseNotKnown:        peer.JobStatus_PHASE_NOT_KNOWN,
+}
+
+// fromProto returns the key of a value of a message in one of the maps above, or the zero key for a value of
+// a later version.
+func fromProto[K, V comparable](values map[K]V, value V) K {
+	for key, v := range values {
+		if v == value {
+			return key
+		}
+	}
+	var zero K
+	return zero
+}
+
 // Job implements peer.Handler.
-func (h peerHandler) Job(ctx context.Context, id string) (*peer.JobStatus, error) {
+func (h peerHandler) Job(ctx context.Context, q *peer.JobQuery) (*peer.JobStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerRequestTimeout)
 	defer cancel()
-	status, err := h.c.PeerJob(ctx, id)
+	answer, err := h.c.PeerJob(ctx, controller.JobQuery{ID: q.GetId(), Scope: fromProto(scopes, q.GetScope())})
 	if errors.Is(err, api.ErrUnknownJob) {
 		return &peer.JobStatus{}, nil
 	}
 	if err != nil {
 		return nil, err
 	}
+	status := answer.State
 	return &peer.JobStatus{
-		Known:   true,
-		Phase:   status.Phase,
-		Done:    uint32(status.Done),
-		Running: uint32(status.Running),
-		Awaits:  status.DependsOn,
-		Derived: status.DerivedCancel,
-		Cell:    status.Cell,
+		Known:     true,
+		Phase:     status.Phase,
+		Done:      uint32(status.Done),
+		Running:   uint32(status.Running),
+		Awaits:    status.DependsOn,
+		Derived:   status.DerivedCancel,
+		Cell:      status.Cell,
+		Certainty: certainties[answer.Certainty],
 	}, nil
 }
 
@@ -52,16 +82,6 @@
 	completion.Ended:      peer.CompletionStatus_ENDED,
 }
 
-// verdictFromProto is the inverse of verdicts. A value of a later version means completion.Unknown.
-func verdictFromProto(value peer.CompletionStatus_Verdict) completion.Verdict {
-	for verdict, v := range verdicts {
-		if v == value {
-			return verdict
-		}
-	}
-	return completion.Unknown
-}
-
 // Completion implements peer.Handler.
 func (h peerHandler) Completion(ctx context.Context, q *peer.CompletionQuery) (*peer.CompletionStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerRequestTimeout)
@@ -158,27 +178,28 @@
 }
 
 // Job implements controller.PeerClient.
-func (p peerClients) Job(ctx context.Context, node, id string) (api.JobState, error) {
+func (p peerClients) Job(ctx context.Context, node string, q controller.JobQuery) (controller.JobAnswer, error) {
 	client := p[node]
 	if client == nil {
-		return api.JobState{}, api.ErrUnavailable
+		return controller.JobAnswer{}, api.ErrUnavailable
 	}
-	status, err := client.Job(ctx, id)
+	status, err := client.Job(ctx, &peer.JobQuery{Id: q.ID, Scope: scopes[q.Scope]})
 	if err != nil {
-		return api.JobState{}, err
+		return controller.JobAnswer{}, err
 	}
 	if !status.Known {
-		return api.JobState{}, api.ErrUnknownJob
+		return controller.JobAnswer{}, api.ErrUnknownJob
 	}
-	return api.JobState{
-		ID:            id,
+	state := api.JobState{
+		ID:            q.ID,
 		Phase:         status.Phase,
 		Done:          int(status.Done),
 		Running:       int(status.Running),
 		DependsOn:     status.Awaits,
 		DerivedCancel: status.Derived,
 		Cell:          status.Cell,
-	}, nil
+	}
+	return controller.JobAnswer{State: state, Certainty: fromProto(certainties, status.GetCertainty())}, nil
 }
 
 // Completion implements controller.PeerClient.
@@ -197,7 +218,7 @@
 		return controller.CompletionStatus{}, err
 	}
 	return controller.CompletionStatus{
-		Verdict: verdictFromProto(status.GetVerdict()),
+		Verdict: fromProto(verdicts, status.GetVerdict()),
 		Done:    status.GetDone(),
 		Addrs:   status.GetAddrs(),
 		Leads:   status.GetLeads(),
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -33,8 +33,8 @@
 // Handler handles the requests of other controllers. If a method returns an error, the request
 // fails with ErrUnavailable at the sender.
 type Handler interface {
-	// Job returns the state of a job.
-	Job(ctx context.Context, id string) (*JobStatus, error)
+	// Job answers a query about a job.
+	Job(ctx context.Context, q *JobQuery) (*JobStatus, error)
 	// Completion returns what this node knows about the completed tasks of a job.
 	Completion(ctx context.Context, q *CompletionQuery) (*CompletionStatus, error)
 	// Ping returns the status of this node.
@@ -192,7 +192,7 @@
 	case *Request_Ping:
 		resp.Pong, err = h.Ping(ctx, k.Ping)
 	case *Request_Job:
-		resp.Job, err = h.Job(ctx, k.Job.GetId())
+		resp.Job, err = h.Job(ctx, k.Job)
 	case *Request_Completion:
 		resp.Completion, err = h.Completion(ctx, k.Completion)
 	case *Request_Report:
@@ -375,8 +375,8 @@
 }
 
 // Job requests the state of a job.
-func (c *Client) Job(ctx context.Context, id string) (*JobStatus, error) {
-	return query(ctx, c, &Request{Kind: &Request_Job{Job: &JobQuery{Id: id}}}, (*Response).GetJob)
+func (c *Client) Job(ctx context.Context, q *JobQuery) (*JobStatus, error) {
+	return query(ctx, c, &Request{Kind: &Request_Job{Job: q}}, (*Response).GetJob)
 }
 
 // Completion asks what the peer knows about the completed tasks of a job.
--- a/internal/records/accept.go
+++ b/internal/records/accept.go
@@ -9,20 +9,21 @@
 	"example.org/ivytrestle/internal/kv"
 )
 
-// Accept creates the record of a job. A job that already exists keeps its state, which is returned
-// with created false.
+// Accept creates the record of a job, which was accepted at the given time. If the job already exists, its
+// records are returned with created false. No task of a job that was created has started, unless created is
+// false although the record is that of this call: the time in it tells.
 func (r *Records) Accept(
 	ctx context.Context, spec *api.JobSpec, now time.Time,
-) (st api.JobState, created bool, err error) {
+) (rec JobRecord, created bool, err error) {
 	sub := r.newSubmission(spec, now)
 	if r.acceptInOneTxn(ctx, sub) {
-		return api.JobState{ID: spec.ID, Phase: api.JobPending}, true, nil
+		return sub.created(), true, nil
 	}
 	err = kv.Retry(ctx, func() error {
-		st, created, err = r.tryAccept(ctx, sub)
+		rec, created, err = r.tryAccept(ctx, sub)
 		return err
 	})
-	return st, created, wrapError("accept", spec.ID, err)
+	return rec, created, wrapError("accept", spec.ID, err)
 }
 
 // acceptInOneTxn accepts a job with dependencies in one transaction if this node has cached all its
@@ -71,35 +72,35 @@
 }
 
 // tryAccept makes one attempt to create the record of a job.
-func (r *Records) tryAccept(ctx context.Context, sub *submission) (st api.JobState, created bool, err error) {
+func (r *Records) tryAccept(ctx context.Context, sub *submission) (rec JobRecord, created bool, err error) {
 	id := sub.spec.ID
 	if len(sub.spec.DependsOn) > maxSingleReads || sub.list != nil {
 		release, err := acquireSlot(ctx, r.longListSlots)
 		if err != nil {
-			return st, false, err
+			return rec, false, err
 		}
 		defer release()
 		// For a job that already exists, no long search is made and no list is written.
-		if st, found, err := r.tryLookup(ctx, id); err != nil || found {
-			return st, false, err
+		if rec, err := r.tryLookup(ctx, id); err != nil || rec.Status != Absent {
+			return rec, false, err
 		}
 	}
 	cancelled, err := r.checkDependencies(ctx, sub.spec.DependsOn)
 	if errors.Is(err, errUnknownDependency) {
 		// A job that already exists keeps its state, whatever dependencies are submitted now.
-		if st, found, lookupErr := r.tryLookup(ctx, id); lookupErr != nil || found {
-			return st, false, lookupErr
+		if rec, lookupErr := r.tryLookup(ctx, id); lookupErr != nil || rec.Status != Absent {
+			return rec, false, lookupErr
 		}
 	}
 	if err != nil {
-		return st, false, err
+		return rec, false, err
 	}
 	// If a dependency is cancelled after this check, the leader at that time finds this job among
 	// the dependents of the cancelled job.
 	if !cancelled && sub.list != nil {
 		written, err := r.writeDependencies(ctx, id, sub.list, sub.listRecords)
 		if err != nil {
-			return st, false, err
+			return rec, false, err
 		}
 		if !written {
 			return r.lookupAfterConflict(ctx, id)
@@ -108,7 +109,7 @@
 	txn, initial := sub.transaction(cancelled)
 	res, err := r.commit(ctx, txn)
 	if err != nil {
-		return st, false, err
+		return rec, false, err
 	}
 	if res.Succeeded {
 		return initial, true, nil
@@ -116,26 +117,31 @@
 	return r.lookupAfterConflict(ctx, id)
 }
 
-// transaction returns the transaction that creates the job's record, and the state of the job after
-// it: cancelled if one of its dependencies is cancelled, otherwise pending.
-func (sub *submission) transaction(cancelled bool) (kv.Txn, api.JobState) {
+// created returns the record of the job after its creation.
+func (sub *submission) created() JobRecord {
+	return JobRecord{ID: sub.spec.ID, Status: Active, Accepted: sub.record.Accepted}
+}
+
+// transaction returns the transaction that creates the job's record, and that record: the job is cancelled
+// if one of its dependencies is cancelled.
+func (sub *submission) transaction(cancelled bool) (kv.Txn, JobRecord) {
 	id := sub.spec.ID
 	txn := kv.Txn{Compares: absentCompares(id)}
 	if cancelled {
 		terminal := TerminalRecord{Phase: api.JobCancelled, Tasks: sub.spec.Tasks}
 		txn.Ops = []kv.Op{{Put: TerminalPrefix + id, Value: terminal}}
-		return txn, terminal.JobState(id)
+		return txn, ended(terminal.JobState(id))
 	}
 	txn.Ops = []kv.Op{{Put: ActivePrefix + id, Value: sub.record}}
-	return txn, api.JobState{ID: id, Phase: api.JobPending}
+	return txn, sub.created()
 }
 
 // lookupAfterConflict looks up a job that turned out to exist, perhaps because an earlier
 // transaction of this submission was applied and its response lost.
-func (r *Records) lookupAfterConflict(ctx context.Context, id string) (api.JobState, bool, error) {
-	st, found, err := r.tryLookup(ctx, id)
-	if err == nil && !found {
+func (r *Records) lookupAfterConflict(ctx context.Context, id string) (JobRecord, bool, error) {
+	rec, err := r.tryLookup(ctx, id)
+	if err == nil && rec.Status == Absent {
 		err = conflictError(ActivePrefix + id)
 	}
-	return st, false, err
+	return rec, false, err
 }
--- a/internal/records/dependencies.go
+++ b/internal/records/dependencies.go
@@ -130,24 +130,42 @@
 	return cancelled, nil
 }
 
-// hasCancelledDependency reports whether a direct or indirect dependency of an active job is
-// cancelled.
-func (r *Records) hasCancelledDependency(ctx context.Context, e kv.Entry) (bool, error) {
+// dependencyState is what the records show about the dependencies of an active job.
+type dependencyState int
+
+const (
+	// dependenciesEnded means that the job waits for no other one.
+	dependenciesEnded dependencyState = iota
+	// dependencyActive means that a direct dependency has not ended, and none is cancelled.
+	dependencyActive
+	// dependencyCancelled means that a direct or indirect dependency is cancelled.
+	dependencyCancelled
+)
+
+// readDependencyState reads the records of the dependencies of an active job.
+func (r *Records) readDependencyState(ctx context.Context, e kv.Entry) (dependencyState, error) {
 	ids, err := r.dependencyIDs(ctx, strings.TrimPrefix(e.Key, ActivePrefix), decodeDependencySet(e))
 	if err != nil {
-		return false, err
+		return dependenciesEnded, err
 	}
 	search := dependencySearch{records: r}
 	if err := search.walk(ctx, ids); err != nil {
-		return false, err
+		return dependenciesEnded, err
 	}
 	terminals, err := r.TerminalRecords(ctx, search.inactive)
 	for _, terminal := range terminals {
 		if terminal.Phase == api.JobCancelled {
-			return true, err
+			return dependencyCancelled, err
 		}
 	}
-	return false, err
+	inactive := make(map[string]bool, len(search.inactive))
+	for _, id := range search.inactive {
+		inactive[id] = true
+	}
+	if slices.ContainsFunc(ids, func(id string) bool { return !inactive[id] }) {
+		return dependencyActive, err
+	}
+	return dependenciesEnded, err
 }
 
 // decodeDependencySet returns what the job of an active record depends on.
--- a/internal/records/lookup.go
+++ b/internal/records/lookup.go
@@ -2,55 +2,99 @@
 
 import (
 	"context"
+	"encoding/json"
+	"time"
 
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/kv"
 )
 
-// Lookup reads a job's state from its records. An active job is returned as pending, because no
-// record shows whether it runs. A read that fails is repeated alone: if both were repeated, a store
-// that answers just in time for one of them would never answer the two in a row.
-func (r *Records) Lookup(ctx context.Context, id string) (st api.JobState, found bool, err error) {
+// Status is what the records of a job show about its progress.
+type Status int
+
+const (
+	// Absent means that the job has no record: it was never accepted.
+	Absent Status = iota
+	// Active means that the job has not ended. No record shows whether any of its tasks runs.
+	Active
+	// Waiting means that the job depends on one that has not ended, so that none of its tasks has started.
+	Waiting
+	// Ended means that the job is done or cancelled.
+	Ended
+)
+
+// JobRecord is what the records of a job show.
+type JobRecord struct {
+	ID     string
+	Status Status
+	// Final is the job's state if it has ended.
+	Final api.JobState
+	// Accepted is when the job was accepted, by the clock of the node that accepted it. It is set for an
+	// active job, unless the record does not hold it.
+	Accepted time.Time
+}
+
+// ended returns the record of a job that has ended.
+func ended(state api.JobState) JobRecord {
+	return JobRecord{ID: state.ID, Status: Ended, Final: state}
+}
+
+// Lookup reads a job's records. A read that fails is repeated alone: if both were repeated, a store that
+// answers just in time for one of them would never answer the two in a row.
+func (r *Records) Lookup(ctx context.Context, id string) (rec JobRecord, err error) {
 	err = kv.Retry(ctx, func() error {
-		st, found, err = r.activeState(ctx, id)
+		rec, err = r.readActive(ctx, id)
 		return err
 	})
-	if err == nil && !found {
+	if err == nil && rec.Status == Absent {
 		err = kv.Retry(ctx, func() error {
-			st, found, err = r.TerminalState(ctx, id)
+			rec, err = r.readTerminal(ctx, id)
 			return err
 		})
 	}
-	return st, found, wrapError("look up", id, err)
+	return rec, wrapError("look up", id, err)
 }
 
 // tryLookup makes one attempt to look up a job. It reads the active record before the terminal one,
 // so that a job that ends between the two reads is found by at least one of them.
-func (r *Records) tryLookup(ctx context.Context, id string) (api.JobState, bool, error) {
-	st, found, err := r.activeState(ctx, id)
-	if err != nil || found {
-		return st, found, err
+func (r *Records) tryLookup(ctx context.Context, id string) (JobRecord, error) {
+	rec, err := r.readActive(ctx, id)
+	if err != nil || rec.Status != Absent {
+		return rec, err
 	}
-	return r.TerminalState(ctx, id)
+	return r.readTerminal(ctx, id)
 }
 
-// activeState returns a job's state if it has an active record.
-func (r *Records) activeState(ctx context.Context, id string) (st api.JobState, active bool, err error) {
-	if r.isPendingByCache(ctx, id) {
-		return api.JobState{ID: id, Phase: api.JobPending}, true, nil
+// readActive reads a job's active record and the records of its dependencies.
+func (r *Records) readActive(ctx context.Context, id string) (JobRecord, error) {
+	if r.isWaitingByCache(ctx, id) {
+		return JobRecord{ID: id, Status: Waiting}, nil
 	}
 	e, err := r.getEntry(ctx, ActivePrefix+id)
 	if err != nil || e.ModRevision == 0 || isGuestRecord(e) {
-		return api.JobState{}, false, err
+		return JobRecord{ID: id}, err
 	}
-	cancelled, err := r.hasCancelledDependency(ctx, e)
+	dependencies, err := r.readDependencyState(ctx, e)
 	if err != nil {
-		return api.JobState{}, false, err
+		return JobRecord{ID: id}, err
+	}
+	switch dependencies {
+	case dependencyCancelled:
+		return ended(r.deriveCancelled(ctx, id)), nil
+	case dependencyActive:
+		return JobRecord{ID: id, Status: Waiting}, nil
 	}
-	if cancelled {
-		return r.deriveCancelled(ctx, id), true, nil
+	return JobRecord{ID: id, Status: Active, Accepted: acceptedAt(e)}, nil
+}
+
+// acceptedAt returns when the job of an active record was accepted, or the zero time if the record does not
+// hold it.
+func acceptedAt(e kv.Entry) time.Time {
+	var rec ActiveRecord
+	if json.Unmarshal(e.Value, &rec) != nil {
+		return time.Time{}
 	}
-	return api.JobState{ID: id, Phase: api.JobPending}, true, nil
+	return rec.Accepted
 }
 
 // deriveCancelled returns the state of a job that depends on a cancelled one. All readers of the
@@ -74,10 +118,10 @@
 	return api.JobState{ID: id, Phase: api.JobCancelled, DerivedCancel: true}
 }
 
-// isPendingByCache reports whether a job with dependencies is pending. One transaction shows it: it
-// compares the cached versions of the job and of its active dependencies, so it fails if one of
-// them has ended since. If isPendingByCache returns false, the records have to be read.
-func (r *Records) isPendingByCache(ctx context.Context, id string) bool {
+// isWaitingByCache reports whether a job waits for one that has not ended. One transaction shows it: it
+// compares the cached versions of the job and of its active dependencies, so it fails if one of them has
+// ended since. If isWaitingByCache returns false, the records have to be read.
+func (r *Records) isWaitingByCache(ctx context.Context, id string) bool {
 	if r.cache == nil {
 		return false
 	}
@@ -89,6 +133,15 @@
 	return err == nil && res.Succeeded
 }
 
+// readTerminal reads a job's terminal record.
+func (r *Records) readTerminal(ctx context.Context, id string) (JobRecord, error) {
+	state, found, err := r.TerminalState(ctx, id)
+	if err != nil || !found {
+		return JobRecord{ID: id}, err
+	}
+	return ended(state), nil
+}
+
 // TerminalState returns a job's state from its terminal record.
 func (r *Records) TerminalState(ctx context.Context, id string) (api.JobState, bool, error) {
 	terminal, found, err := r.terminalRecord(ctx, id)
