Fix: a repeated submission gets the job's state as the leader knows it

Cause: Submit and RecordedJob took the state from the records alone, which don't show whether tasks run. Nobody asked the leader.

Change: if the records show an active job, its state is found as for a poll, within 1.5 s of its own after at most 2.5 s for the records; users wait 5 s. A new job is answered as before, also if the response to its own transaction was lost.

--- a/internal/api/handlers.go
+++ b/internal/api/handlers.go
@@ -54,7 +54,7 @@
 // Timeouts of requests. Each is the client's timeout, less the time that a response takes to reach
 // the client.
 const (
-	submitTimeout = 2500 * time.Millisecond
+	submitTimeout = 4250 * time.Millisecond
 	pollTimeout   = 1500 * time.Millisecond
 	cancelTimeout = 4750 * time.Millisecond
 )
--- a/internal/controller/answerchecker_test.go
+++ b/internal/controller/answerchecker_test.go
@@ -202,7 +202,7 @@
 		return fmt.Sprintf("got phase %q after end %q was answered", response.state.Phase, log.end)
 	case response.verb == "cancel" && !response.state.Final():
 		return fmt.Sprintf("got phase %q as answer to a cancellation, want a final phase", response.state.Phase)
-	case response.state.Phase == api.JobPending && response.verb == "query" && !response.sentAt.IsZero():
+	case response.state.Phase == api.JobPending && !response.sentAt.IsZero():
 		return log.pendingViolation(response, time.Now())
 	case response.state.Phase == api.JobRunning && !response.sentAt.IsZero():
 		return log.runningViolation(time.Now())
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -101,6 +101,8 @@
 	leaderStates leaderStates
 	// phaseProbes has an element for each job whose machines are being probed for a poll.
 	phaseProbes chan struct{}
+	// repeatedPolls has an element for each repeated submission whose job's phase is being searched.
+	repeatedPolls chan struct{}
 	// completionChecks has an element for each check of a completionCheck that takes more than one query.
 	completionChecks chan struct{}
 	// unready makes the health check fail, so that users are routed to other nodes.
@@ -174,6 +176,7 @@
 		completions:   completion.NewLog(site.Workers, site.Limits),
 		ledAt:         now,
 		leaderStates:  newLeaderStates(),
+		repeatedPolls: make(chan struct{}, maxRepeatedPolls),
 		phaseProbes:   make(chan struct{}, min(maxPhaseProbes, maxConcurrentDials(site.Limits.FDLimit))),
 
 		completionChecks: make(chan struct{}, min(maxCompletionChecks, maxConcurrentDials(site.Limits.FDLimit))),
--- a/internal/controller/jobphase_test.go
+++ b/internal/controller/jobphase_test.go
@@ -114,10 +114,16 @@
 	{"poll", func(tn *userCluster, n *node, s *api.JobSpec) (api.JobState, error) {
 		return tn.checker.queryJob(n, s.ID)
 	}},
+	{"repeated submission", func(tn *userCluster, n *node, s *api.JobSpec) (api.JobState, error) {
+		return tn.checker.repeat(n, s)
+	}},
+	{"invalid repeated submission", func(tn *userCluster, n *node, s *api.JobSpec) (api.JobState, error) {
+		return tn.checker.repeatInvalid(n, s.ID)
+	}},
 }
 
-// Guards against calling a running job pending, as polls did while the leader could not be asked (review case 7).
-// Each answer has to be "running", and users get one soon.
+// Guards against calling a running job pending, as polls did while the leader could not be asked, and repeated
+// submissions at any time (review cases 7 and 8). Each answer has to be "running", and users get one soon.
 func TestRunningJobIsNotCalledPending(t *testing.T) {
 	for _, c := range phaseOutages {
 		for _, question := range phaseQuestions {
@@ -193,6 +199,52 @@
 	}
 }
 
+// The response to the transaction that creates a job is lost, while no node leads: the node finds its own
+// record, and answers the submission as that of a new job.
+func TestNewJobWithLostResponseIsAcceptedAtOnce(t *testing.T) {
+	simulate(t, func(w *simulatedCluster) {
+		tn := newUserCluster(w, 1)
+		defer tn.close()
+		tn.crash(0)
+		tn.store.LoseResponses(writesPrefix("a/"))
+		if err := tn.checker.submit(tn.nodeAt(1), spec("job-1", 1)); err != nil {
+			t.Errorf("got %v, want none", err)
+		}
+	})
+}
+
+// While many repeated submissions wait for a leader that hangs, further ones are to be repeated, and a new job is
+// accepted at once.
+func TestConcurrentRepeatedSubmissionsAreBounded(t *testing.T) {
+	simulate(t, func(w *simulatedCluster) {
+		tn := newUserCluster(w, 1)
+		defer tn.close()
+		const repeats = maxRepeatedPolls + 20
+		job := spec("job-1", 2)
+		tn.submitUntilAccepted(1, job)
+		time.Sleep(2 * stateLag)
+		hangNode0(tn)
+		errs := make(chan error, repeats)
+		for range repeats {
+			tn.runInBackground(func() {
+				_, err := tn.checker.repeat(tn.nodeAt(1), job)
+				errs <- err
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		if err := tn.checker.submit(tn.nodeAt(1), spec("job-2", 1)); err != nil {
+			t.Errorf("new job: got %v, want no error", err)
+		}
+		rejected := 0
+		for range repeats {
+			if errors.Is(<-errs, errTooManyRepeats) {
+				rejected++
+			}
+		}
+		tn.checkEqual("rejected", rejected, repeats-maxRepeatedPolls)
+	})
+}
+
 // A job whose phase nobody can tell is reported as pending in the end: its user would take it for lost.
 func TestUnknownPhaseIsAnsweredBeforeJobCountsAsForgotten(t *testing.T) {
 	for _, question := range phaseQuestions {
--- a/internal/controller/storedjobs.go
+++ b/internal/controller/storedjobs.go
@@ -3,24 +3,46 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"example.org/ivytrestle/internal/api"
 	"example.org/ivytrestle/internal/records"
 )
 
-// RecordedJob implements api.Backend. It reads the job from the store.
+// RecordedJob implements api.Backend. Only the job's records can show that it is unknown.
 func (c *Controller) RecordedJob(ctx context.Context, id string) (api.JobState, error) {
 	answer := c.answers.begin(repeatRequest, id)
-	record, err := c.lookup(ctx, id, answer.failingSince)
-	return answer.decide(fromStore, stateOfRepeated(record), err)
+	lookupCtx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	record, err := c.lookup(lookupCtx, id, answer.failingSince)
+	if err != nil {
+		return answer.decide(fromStore, api.JobState{}, err)
+	}
+	state, source, err := c.stateOfRepeated(ctx, record, answer.failingSince)
+	return answer.decide(source, state, err)
 }
 
-// stateOfRepeated returns the state of a job that was submitted again, as its records show it.
-func stateOfRepeated(record records.JobRecord) api.JobState {
+// stateOfRepeated returns the state of a job that was submitted again. The records of a job that has not
+// ended do not show its phase, so it is found as for a poll.
+func (c *Controller) stateOfRepeated(
+	ctx context.Context, record records.JobRecord, failingSince time.Time,
+) (api.JobState, answerSource, error) {
 	if record.Status == records.Ended {
-		return record.Final
+		return record.Final, fromStore, nil
+	}
+	select {
+	case c.repeatedPolls <- struct{}{}:
+		defer func() { <-c.repeatedPolls }()
+	default:
+		return api.JobState{}, fromStore, errTooManyRepeats
+	}
+	ctx, cancel := context.WithTimeout(ctx, repeatedPollTimeout)
+	defer cancel()
+	state, source, err := c.findJob(ctx, record.ID, failingSince)
+	if errors.Is(err, api.ErrUnknownJob) {
+		err = api.ErrUnavailable // its record has just been read
 	}
-	return pendingState(record.ID)
+	return state, source, err
 }
 
 // finalStateMsg carries a job's final state that this node has read or written. The leader's memory
--- a/internal/controller/submissions.go
+++ b/internal/controller/submissions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -12,19 +13,44 @@
 	"example.org/ivytrestle/internal/records"
 )
 
+const (
+	// acceptTimeout limits the reads and writes of the job's records, and repeatedPollTimeout the search for
+	// the phase of a job that was submitted before. Together they are less than a user waits for the answer.
+	acceptTimeout       = 2500 * time.Millisecond
+	repeatedPollTimeout = 1500 * time.Millisecond
+	// maxRepeatedPolls is the maximum number of concurrent searches for the phase of jobs that were submitted
+	// before. With maxCompletionChecks, it leaves slots of users' requests to new jobs.
+	maxRepeatedPolls = 12
+)
+
+// errTooManyRepeats means that maxRepeatedPolls searches are in progress.
+var errTooManyRepeats = fmt.Errorf("%w: too many repeated submissions in progress", api.ErrUnavailable)
+
 // Submit implements api.Backend. It rejects jobs that can never run, and writes the active record of
 // the others.
 func (c *Controller) Submit(ctx context.Context, spec *api.JobSpec) (api.JobState, bool, error) {
 	answer := c.answers.begin(submitRequest, spec.ID)
-	record, created, err := c.accept(ctx, spec, time.Now())
+	acceptedAt := time.Now()
+	record, created, err := c.accept(ctx, spec, acceptedAt)
+	if err != nil {
+		state, err := answer.decide(fromStore, api.JobState{}, err)
+		return state, false, err
+	}
 	if created && answer.acknowledged {
 		answer.contradicted(fromStore) // its records were lost
 	}
-	state := stateOfRepeated(record)
-	if err == nil && state.Final() {
+	state, source := record.Final, fromStore
+	switch {
+	case record.Status == records.Ended:
 		err = c.publishFinalState(ctx, state)
+	case created || record.Accepted.Equal(acceptedAt):
+		// If the record is there although this request has not created it, the response to the
+		// transaction was lost.
+		state = pendingState(spec.ID)
+	default:
+		state, source, err = c.stateOfRepeated(ctx, record, answer.failingSince)
 	}
-	state, err = answer.decide(fromStore, state, err)
+	state, err = answer.decide(source, state, err)
 	return state, created, err
 }
 
@@ -44,6 +70,8 @@
 	if reason != "" {
 		return records.JobRecord{}, false, &api.UnschedulableError{Reason: reason}
 	}
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
 	record, created, err := c.records.Accept(ctx, spec, now)
 	var unknown *records.UnknownDependencyError
 	if errors.As(err, &unknown) {
--- a/internal/controller/useranswers.go
+++ b/internal/controller/useranswers.go
@@ -47,7 +47,7 @@
 	counts       answerCounters
 
 	mu sync.Mutex
-	// failing holds the jobs whose last poll failed.
+	// failing holds the jobs whose last poll, or repeated submission, failed.
 	failing *lru.Cache[string, *failingPolls]
 	// failingLoggedAt is when failing polls of any job were last logged.
 	failingLoggedAt time.Time
@@ -169,10 +169,10 @@
 	}
 }
 
-// pollFailed notes a failed poll, and logs a job whose polls have failed for failingPollsLogDelay, one of
-// them at a time.
+// pollFailed notes a failed poll, or a repeated submission that failed as the job's phase is not known. It
+// logs a job whose requests have failed for failingPollsLogDelay, one of them at a time.
 func (p pendingAnswer) pollFailed(err error) {
-	if p.request != pollRequest {
+	if p.request != pollRequest && !errors.Is(err, errPhaseUnknown) {
 		return
 	}
 	a := p.answers
