Fix: a lent job's phase is known only while its host tells it

What callers saw: while the link to the host cell was cut, and after the host's leader had restarted, users of the home cell got the phase that the host told last, for however long: "running" although it may be over, or "pending" before.

Cause: the home leader keeps the host's last state and gave it as current; "begun" counted as running, though it means that tasks have started or may have.

Change: the home leader knows the phase if the host answered within stateLag and says that it knows it itself; the state of a loan has a field for that. Running or completed tasks make it running, as for other jobs.

Evidence: TestPhaseOfLentJobIsThatOfItsHost fails before ("unknown while the link is cut: got false") and holds after.

--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -210,7 +210,7 @@
 			ID: j.Spec.ID, Phase: api.JobPending,
 			Done: j.RemoteState.Done, Running: j.RemoteState.Running, Cell: j.Lent.Host,
 		}
-		if j.RemoteState.Phase == loan.PhaseStarted {
+		if st.Running > 0 || st.Done > 0 {
 			st.Phase = api.JobRunning
 		}
 		return st
--- a/internal/controller/jobphase_test.go
+++ b/internal/controller/jobphase_test.go
@@ -381,3 +381,31 @@
 		})
 	}
 }
+
+// Guards against calling a lent job running, or pending, on an old word of its host, or on that of a host that has
+// not heard its machines since its restart: the phase is unknown then.
+func TestPhaseOfLentJobIsThatOfItsHost(t *testing.T) {
+	simulateCells(t, []int{1, 2}, func(g *cellGroup) {
+		home, host := g.cells[0], g.cells[1]
+		id := g.runningGuest(host, g.submitBurst(home, 100, 6, 2*time.Minute))
+		time.Sleep(stateLag)
+		home.checkEqual("phase while the host answers", home.phase(home.currentNodes()[0], id), api.JobRunning)
+		g.setCut(home.name, host.name, true)
+		time.Sleep(stateLag + 2*time.Second)
+		_, err := home.currentNodes()[0].Job(context.Background(), id)
+		home.checkEqual("unknown while the link is cut", errors.Is(err, errPhaseUnknown), true)
+		g.setCut(home.name, host.name, false)
+		time.Sleep(stateLag)
+		home.checkEqual("phase afterwards", home.phase(home.currentNodes()[0], id), api.JobRunning)
+		g.mu.Lock()
+		host.hangUntil = time.Now().Add(2 * stateLag)
+		g.mu.Unlock()
+		host.restartNode(0, 200*time.Millisecond)
+		time.Sleep(2*stateLag - time.Second)
+		_, err = home.currentNodes()[0].Job(context.Background(), id)
+		home.checkEqual("unknown while the host has not heard its machines", errors.Is(err, errPhaseUnknown), true)
+		time.Sleep(2 * stateLag)
+		home.checkEqual("phase after the host's restart", home.phase(home.currentNodes()[0], id), api.JobRunning)
+		g.awaitAllEnded(10 * time.Minute)
+	})
+}
--- a/internal/controller/leaderphase.go
+++ b/internal/controller/leaderphase.go
@@ -12,7 +12,9 @@
 func (lt *leaderTerm) jobState(j *cluster.Job, now time.Time) (state api.JobState, known bool) {
 	state = j.State()
 	switch {
-	case j.Lent != nil || state.Done > 0 || len(j.DependsOn) > 0:
+	case j.Lent != nil:
+		return state, lt.loans.isStateKnown(j, now)
+	case state.Done > 0 || len(j.DependsOn) > 0:
 		return state, true
 	case state.Running > 0:
 		return state, lt.isHeardRunning(j, now)
--- a/internal/controller/loanshome.go
+++ b/internal/controller/loanshome.go
@@ -186,6 +186,13 @@
 	}
 }
 
+// isStateKnown reports whether this cell knows whether tasks of a lent job run: its host has answered within
+// stateLag, and knows it itself.
+func (l *loans) isStateKnown(j *cluster.Job, now time.Time) bool {
+	host := l.neighbours[j.Lent.Host]
+	return host != nil && now.Sub(host.lastResponse) <= stateLag && !j.RemoteState.RunningUnknown
+}
+
 // buildRequest returns a request with the desired state of each loan to a neighbour.
 func (l *loans) buildRequest(n *neighbour) *loan.Request {
 	lt := l.leaderTerm
--- a/internal/controller/loanshost.go
+++ b/internal/controller/loanshost.go
@@ -174,8 +174,9 @@
 
 // fillProgress sets the task counts in the state of a guest.
 func (l *loans) fillProgress(j *cluster.Job, s *loan.State) {
-	job := j.State()
+	job, known := l.leaderTerm.jobState(j, time.Now())
 	s.Done, s.Running, s.Pending = job.Done, job.Running, len(j.ActiveAttempts) > 0
+	s.RunningUnknown = !known
 }
 
 // mayBeOnMachine reports whether tasks of a job may be on machines, also for a job that is no
--- a/internal/loan/loan.go
+++ b/internal/loan/loan.go
@@ -169,6 +169,8 @@
 	Epoch         Epoch
 	Phase         Phase
 	Done, Running int
+	// RunningUnknown is set if the host does not know whether tasks of the job run.
+	RunningUnknown bool
 	// Pending is set while tasks of the job may still be on machines of the host.
 	Pending bool
 	Ended   time.Time
--- a/internal/peer/loans.go
+++ b/internal/peer/loans.go
@@ -78,6 +78,8 @@
 			Running: uint32(s.Running),
 			Held:    s.Pending,
 			Reason:  s.Reason,
+
+			RunningUnknown: s.RunningUnknown,
 		}
 		if !s.Ended.IsZero() {
 			state.EndedMs = s.Ended.UnixMilli()
@@ -116,6 +118,8 @@
 			Running: int(s.Running),
 			Pending: s.Held,
 			Reason:  s.Reason,
+
+			RunningUnknown: s.RunningUnknown,
 		}
 		if s.EndedMs != 0 {
 			state.Ended = time.UnixMilli(s.EndedMs).UTC()
