Fix: a task that may have begun on a silent machine isn't called pending

What callers saw: a job whose start was sent, or whose image was fetched, to a machine that then fell silent was "pending" for two heartbeat intervals and a second, though its task may have run all that time.

Cause: the leader took silence for news only after its heartbeat timeout. A machine reports a task that begins at once, so a start without a heartbeat is unknown after stateLag, and any attempt once a heartbeat is overdue.

Evidence: TestStartedTaskOnSilentMachineIsUnknown fails before ("unknown later: got false") and holds after.

--- a/internal/controller/jobphase_test.go
+++ b/internal/controller/jobphase_test.go
@@ -327,6 +327,39 @@
 	})
 }
 
+// A task of which no heartbeat has shown the beginning may run: its start was sent, or it waited for its image, and its
+// machine has been silent since. Its job is pending only while that is news.
+func TestStartedTaskOnSilentMachineIsUnknown(t *testing.T) {
+	for _, fetching := range []bool{false, true} {
+		simulate(t, func(w *simulatedCluster) {
+			w.heartbeatS = 3
+			n := w.start("n0")
+			agent := w.worker("i-1", "a", false)
+			agent.heartbeatFor(n, 2)
+			w.submit(n, spec("job-1", 1))
+			agent.heartbeat(n)
+			w.checkEqual("tasks", len(agent.running()), 1)
+			if fetching {
+				agent.mu.Lock()
+				agent.status.Tasks[0].Phase = api.TaskPulling
+				agent.mu.Unlock()
+				agent.heartbeat(n)
+			}
+			w.unresponsive.Store("i-1", true)
+			time.Sleep(stateLag - time.Second)
+			w.checkEqual("phase at first", w.phase(n, "job-1"), api.JobPending)
+			time.Sleep(3 * time.Second)
+			_, err := n.Job(context.Background(), "job-1")
+			w.checkEqual("unknown later", errors.Is(err, errPhaseUnknown), true)
+			agent.mu.Lock()
+			agent.status.Tasks[0].Phase = api.TaskRunning
+			agent.mu.Unlock()
+			agent.heartbeat(n)
+			w.checkEqual("phase after a heartbeat", w.phase(n, "job-1"), api.JobRunning)
+		})
+	}
+}
+
 // peerAnswer is a PeerClient whose nodes all give one answer about jobs, with an error or not.
 type peerAnswer struct {
 	PeerClient
--- a/internal/controller/leaderphase.go
+++ b/internal/controller/leaderphase.go
@@ -34,22 +34,34 @@
 	return false
 }
 
-// mayRunUnheard reports whether a task of a job that no heartbeat shows may run: on a machine that is silent
-// since the start was sent, or, within a lease of the beginning of the term, on one that has not acknowledged
-// the term.
+// mayRunUnheard reports whether a task of a job that no heartbeat shows may run: on a machine that is silent,
+// or, within a lease of the beginning of the term, on one that has not acknowledged the term.
 func (lt *leaderTerm) mayRunUnheard(j *cluster.Job, now time.Time) bool {
 	isOlder := j.ModRevision <= lt.term.ModRevision
 	if lt.unfenced > 0 && isOlder && now.Sub(lt.startedAt) < lt.c.Settings.Site.Workers.Lease() {
 		return true
 	}
 	for _, a := range j.ActiveAttempts {
-		if !a.Exited && now.Sub(a.Machine.LastHeartbeat) > lt.detector.HeartbeatTimeout() {
+		if !a.Exited && lt.mayHaveBegun(a, now) {
 			return true
 		}
 	}
 	return false
 }
 
+// heartbeatDelay is how long a heartbeat may take to arrive after it was due.
+const heartbeatDelay = time.Second
+
+// mayHaveBegun reports whether an attempt that no heartbeat shows as running may have run for longer than
+// stateLag. Its machine sends a heartbeat as soon as the task begins, and at the intervals of the settings.
+func (lt *leaderTerm) mayHaveBegun(a *cluster.Attempt, now time.Time) bool {
+	if a.LastSeenHeartbeat == 0 {
+		return now.Sub(a.SentAt) > stateLag
+	}
+	interval := lt.c.Settings.Site.Workers.HeartbeatInterval() * 5 / 4
+	return now.Sub(a.Machine.LastHeartbeat) > interval+heartbeatDelay
+}
+
 // stateWhileActive returns a job's state that holds unless the job has ended, or nil if this node does not
 // lead or does not know it. No task has started of a job that this leader has not heard of yet: it was
 // accepted after the leader read all records.
