Polls: the search for a phase is bounded while the leader doesn't answer

Cause: while the leader hangs, a node asked the other one, which asked the leader as well, until the poll timed out after 1.5 s. Polls hold one of 160 slots, so that many of them would keep polls of ended jobs waiting.

Change: other nodes are asked for 400 ms, and ask the leader for 300 ms, only if it has answered the last ping. A leader that has not gets 50 ms before the store is read beside it.

--- a/internal/controller/jobphase.go
+++ b/internal/controller/jobphase.go
@@ -35,8 +35,10 @@
 	maxLeaderStates = 4096
 	// maxPhaseProbes is the maximum number of jobs whose machines are probed at a time.
 	maxPhaseProbes = 16
-	// phaseProbeTimeout limits a probe.
+	// phaseProbeTimeout limits a probe of a machine, and a query of the leader on behalf of another node.
 	phaseProbeTimeout = 300 * time.Millisecond
+	// phaseQueryTimeout limits the queries of other nodes for a phase.
+	phaseQueryTimeout = phaseProbeTimeout + 100*time.Millisecond
 	// maxPhaseWait is for how long the polls or repeated submissions of a job may fail because its phase is
 	// not known. Users poll every 5 s, and count a job as forgotten after 75 s without an answer.
 	maxPhaseWait = 40 * time.Second
@@ -178,7 +180,7 @@
 	if c.Peers == nil || len(nodes) == 0 {
 		return api.JobState{}, errPhaseUnknown
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, phaseQueryTimeout)
 	defer cancel()
 	answers := make(chan JobAnswer, len(nodes))
 	for _, node := range nodes {
@@ -197,7 +199,7 @@
 				return answer.State, nil
 			}
 		case <-ctx.Done():
-			return api.JobState{}, ctx.Err()
+			return api.JobState{}, errPhaseUnknown
 		}
 	}
 	return api.JobState{}, errPhaseUnknown
--- a/internal/controller/jobquery.go
+++ b/internal/controller/jobquery.go
@@ -102,9 +102,11 @@
 // phaseForPeer returns the phase of a job that has not ended according to the node that asks.
 func (c *Controller) phaseForPeer(ctx context.Context, id string, reply pollReply) (api.JobState, error) {
 	state, err := c.activeState(ctx, records.JobRecord{ID: id, Status: records.Active}, reply)
-	if err == nil || reply.leader == "" || c.Peers == nil {
+	if err == nil || !reply.leaderReachable || c.Peers == nil {
 		return state, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, phaseProbeTimeout)
+	defer cancel()
 	state, err = c.queryNode(ctx, fromLeader, reply.leader, id, reply)
 	if state, ok := c.leaderStates.recent(id); err != nil && ok {
 		return state, nil
--- a/internal/controller/polls.go
+++ b/internal/controller/polls.go
@@ -14,6 +14,8 @@
 const (
 	peerQueryDelay = 500 * time.Millisecond
 	lookupDelay    = 600 * time.Millisecond
+	// unreachableQueryDelay is peerQueryDelay for a leader that has not answered the last ping.
+	unreachableQueryDelay = 50 * time.Millisecond
 )
 
 // Job implements api.Backend.
@@ -85,7 +87,11 @@
 
 // peerStep returns the step of a poll that queries another node.
 func (c *Controller) peerStep(source answerSource, node, id string, reply pollReply) pollStep {
-	return pollStep{source, "node " + node, peerQueryDelay, func(ctx context.Context) (api.JobState, error) {
+	delay := peerQueryDelay
+	if source == fromLeader && !reply.leaderReachable {
+		delay = unreachableQueryDelay
+	}
+	return pollStep{source, "node " + node, delay, func(ctx context.Context) (api.JobState, error) {
 		return c.queryNode(ctx, source, node, id, reply)
 	}}
 }
@@ -113,8 +119,9 @@
 	addrs []string
 	// leader is the node to query first, or "".
 	leader string
-	// leaderSettled is set if the leader has had time to hear of the tasks on its machines.
-	leaderSettled bool
+	// leaderReachable is set if the leader has answered the last ping, and leaderSettled if it has also had
+	// time to hear of the tasks on its machines.
+	leaderReachable, leaderSettled bool
 	// otherNodes are other reachable nodes to query; they can reach the store.
 	otherNodes []string
 	// kvUnreachable is set while this node cannot reach the store.
@@ -156,7 +163,8 @@
 	if c.leaderTerm == nil {
 		reply.leader = c.currentLeader(now)
 		member := c.membership.Members[reply.leader]
-		reply.leaderSettled = member.IsReachable(now) && member.Term > 0 &&
+		reply.leaderReachable = member.IsReachable(now)
+		reply.leaderSettled = reply.leaderReachable && member.Term > 0 &&
 			now.Sub(member.TermSeenAt) >= c.Settings.Site.Workers.Lease()
 	}
 	for name, member := range c.membership.Members {
