Soak: phases are compared with what the machines run

Cause: the checker looked at ended phases only, so that a running job could be called pending unseen.

Change: "pending" while a task has run for longer than the lag and a second, and "running" while none has run for that long and a lease, break a rule, for polls and repeats. A controller that hasn't answered for 40 s may say "pending". The states of machines have names of their own.

--- a/internal/loadtest/soak/checker.go
+++ b/internal/loadtest/soak/checker.go
@@ -34,6 +34,12 @@
 	// controller had got heartbeats that show it, before its user asked to cancel it. It is not if a machine
 	// has forgotten a completed task before it was recorded: the controller may have ended since.
 	ruleDoneCancelled rule = "cancelled after it was done"
+	// ruleRunningPending is broken if a job is called pending although a task of it has run for longer than a
+	// state may lag, and ruleIdleRunning if it is called running although no task has run for that long and a
+	// lease.
+	ruleRunningPending rule = "called pending while it runs"
+	ruleIdleRunning    rule = "called running while nothing runs"
+
 	ruleNothingRan    rule = "nothing_ran"
 	ruleBeginsLate    rule = "begins late after troubles"
 	ruleNothingIsDone rule = "no job was done"
@@ -48,6 +54,11 @@
 	maxPollGap = 10 * time.Second
 	// stateLag is how far the state of a job that users are told may lag.
 	stateLag = 3 * time.Second
+	// runLag is stateLag and the time that a heartbeat and an answer take.
+	runLag = stateLag + time.Second
+	// unknownPhaseLimit is how long a controller that cannot tell whether a job runs leaves the questions of
+	// its user unanswered, before it calls the job pending.
+	unknownPhaseLimit = 40 * time.Second
 	// beginLimit is how long after the troubles a job may wait for its first task.
 	beginLimit = 90 * time.Second
 )
@@ -89,6 +100,7 @@
 	for _, id := range c.jobIDs {
 		c.checkAnswers(id)
 		c.checkPhases(id)
+		c.checkRunningPhases(id)
 		c.checkCancellation(id)
 		c.checkDoneCancelled(id)
 		c.checkProgress(id)
@@ -229,6 +241,52 @@
 	}
 }
 
+// checkRunningPhases checks that a job is called pending only while no task of it runs, and running only if one
+// has run lately or completed.
+func (c *checker) checkRunningPhases(id string) {
+	failingSince := map[string]time.Time{} // by node
+	for _, a := range c.answersOf[id] {
+		if !a.answersQuestion() {
+			if failingSince[a.node].IsZero() {
+				failingSince[a.node] = a.received
+			}
+			continue
+		}
+		since := failingSince[a.node]
+		delete(failingSince, a.node)
+		isAssumed := !since.IsZero() && a.received.Sub(since) >= unknownPhaseLimit
+		switch {
+		case a.phase == phasePending && !isAssumed:
+			c.checkPending(a)
+		case a.phase == phaseRunning:
+			c.checkRunning(a)
+		}
+	}
+}
+
+// checkPending checks an answer that calls a job pending.
+func (c *checker) checkPending(a answer) {
+	for _, run := range c.runsOf[a.job] {
+		if run.onMachineAt(a.sent.Add(-runLag)) && run.onMachineAt(a.received) {
+			c.report(ruleRunningPending, "%s is called pending by %s to a %s while task %d has run for %v on %s",
+				a.job, a.node, a.operation, run.task, a.sent.Sub(run.started).Round(time.Millisecond), run.machine.name)
+			return
+		}
+	}
+}
+
+// checkRunning checks an answer that calls a job running.
+func (c *checker) checkRunning(a answer) {
+	from := a.sent.Add(-runLag - config.Duration(c.site.Workers.LeaseS))
+	for _, run := range c.runsOf[a.job] {
+		if !run.started.After(a.received) && (run.done || run.ended.IsZero() || run.ended.After(from)) {
+			return
+		}
+	}
+	c.report(ruleIdleRunning, "%s is called running by %s to a %s while no task has run since %v before",
+		a.job, a.node, a.operation, a.sent.Sub(from))
+}
+
 // wasCancelled reports whether a user had begun to cancel a job before a time.
 func (c *checker) wasCancelled(id string, before time.Time) bool {
 	return slices.ContainsFunc(c.answersOf[id], func(a answer) bool {
--- a/internal/loadtest/soak/checker_test.go
+++ b/internal/loadtest/soak/checker_test.go
@@ -158,6 +158,19 @@
 	{"cancelled without a request", ruleWentBack, func(h *history) {
 		h.answers[4].phase, h.answers[5].phase = phaseCancelled, phaseCancelled
 	}},
+	{"pending while a task runs", ruleRunningPending, func(h *history) {
+		h.answers = slices.Insert(h.answers, 4, told(opPoll, 7, statusOK, phasePending))
+	}},
+	{"a repeated submission gets pending while a task runs", ruleRunningPending, func(h *history) {
+		h.answers = slices.Insert(h.answers, 4, told(opRepeat, 7, statusOK, phasePending))
+	}},
+	{"running before any task has run", ruleIdleRunning, func(h *history) {
+		h.answers = slices.Insert(h.answers, 2, told(opPoll, 1.5, statusOK, phaseRunning))
+	}},
+	{"running long after a task has run", ruleIdleRunning, func(h *history) {
+		h.runs = []*taskRun{ran(0, machineA, 2, 3, false), ran(1, machineA, 25, 27, true)}
+		h.answers[4] = told(opPoll, 20, statusOK, phaseRunning)
+	}},
 	{"no task starts", ruleNothingRan, func(h *history) { h.runs = nil }},
 	{"no job is done", ruleNothingIsDone, func(h *history) { h.answers = h.answers[:4] }},
 }
@@ -226,6 +239,24 @@
 	}
 }
 
+// A controller that has not answered the user for long calls a job pending without knowing its phase.
+func TestCheckerAllowsPendingAfterUnansweredQuestions(t *testing.T) {
+	for seconds, allowed := range map[float64]bool{30: false, 48: true} {
+		h := goodHistory()
+		h.runs[0].ended, h.runs[1].ended = at(60), at(60)
+		h.answers = append(h.answers[:4], told(opPoll, 6, 503, ""),
+			told(opPoll, seconds, statusOK, phasePending), told(opPoll, 61, statusOK, phaseDone))
+		h.ended = at(70)
+		violations := check(testSite, h)
+		if allowed && len(violations) > 0 {
+			t.Errorf("after %v s: got %v, want none", seconds, violations)
+		}
+		if !allowed {
+			checkReports(t, h, ruleRunningPending)
+		}
+	}
+}
+
 func TestCheckerReportsNothingForGoodHistories(t *testing.T) {
 	if violations := check(testSite, goodHistory()); len(violations) > 0 {
 		t.Errorf("got %v, want none", violations)
--- a/internal/loadtest/soak/cloud.go
+++ b/internal/loadtest/soak/cloud.go
@@ -39,8 +39,8 @@
 }
 
 const (
-	phaseStarting = "starting"
-	phaseRunning  = "running"
+	machineStarting = "starting"
+	machineRunning  = "running"
 	// listLag is by how much the list of machines lags behind.
 	listLag = time.Second
 	// lostListedFor is how long a machine that has failed is still listed as running.
@@ -223,11 +223,11 @@
 		Type:  m.spec.machineType,
 		Zone:  m.spec.zone,
 		Spot:  m.spec.spot,
-		Phase: phaseStarting,
+		Phase: machineStarting,
 		AgeS:  at.Sub(m.createdAt).Seconds(),
 	}
 	if m.worker != nil {
-		entry.Addr, entry.Phase = m.worker.heartbeat.Addr, phaseRunning
+		entry.Addr, entry.Phase = m.worker.heartbeat.Addr, machineRunning
 	}
 	if !m.lostAt.IsZero() && at.Sub(m.lostAt) > lostListedFor {
 		entry.Phase = cloudapi.PhaseFailed
--- a/internal/loadtest/soak/users.go
+++ b/internal/loadtest/soak/users.go
@@ -22,6 +22,8 @@
 	statusUnschedulable = http.StatusUnprocessableEntity
 	statusNotFound      = http.StatusNotFound
 
+	phasePending   = api.JobPending
+	phaseRunning   = api.JobRunning
 	phaseDone      = api.JobDone
 	phaseCancelled = api.JobCancelled
 )
