Fix: "pending" isn't repeated for as long as "running" after the leader is lost

What callers saw: a node repeated the leader's "pending" for 3 s, and the leader itself may not have heard of a task that began for another 3 s.

Cause: what a node repeats lags in addition to the leader. A running task mostly runs on; a pending one may begin at any time.

Change: "pending" is repeated for 1 s, and the leader takes a start without a heartbeat for unknown after 2 s.

--- a/internal/controller/jobphase.go
+++ b/internal/controller/jobphase.go
@@ -21,7 +21,7 @@
 // phase to a user only if one of these shows it:
 //
 //   - The leader, which hears of tasks by the heartbeats of their machines (leaderTerm.jobState).
-//   - What the leader has answered to this node within stateLag.
+//   - What the leader has answered to this node within stateLag, or maxPendingAge if no task ran.
 //   - The records, if the job waits for another one, or was accepted within stateLag.
 //   - A machine that runs a task according to its answer to a probe. A heartbeat to a node that does not
 //     lead only names the machine to probe: the heartbeat may be a late copy.
@@ -33,6 +33,9 @@
 const (
 	// maxLeaderStates is the number of jobs whose last state according to the leader a node remembers.
 	maxLeaderStates = 4096
+	// maxPendingAge is for how long the leader's answer that no task of a job runs is repeated to users. A task
+	// may begin at any time, and the answer lags already.
+	maxPendingAge = time.Second
 	// maxPhaseProbes is the maximum number of jobs whose machines are probed at a time.
 	maxPhaseProbes = 16
 	// phaseProbeTimeout limits a probe of a machine, and a query of the leader on behalf of another node.
@@ -82,10 +85,15 @@
 	s.byJob.Add(state.ID, leaderState{state, askedAt})
 }
 
-// recent returns the leader's last answer about a job, if the leader was asked within stateLag.
+// recent returns the leader's last answer about a job, if the leader was asked within stateLag, or within
+// maxPendingAge if no task of the job ran.
 func (s leaderStates) recent(id string) (api.JobState, bool) {
 	last, ok := s.byJob.Peek(id)
-	return last.state, ok && time.Since(last.askedAt) <= stateLag
+	maxAge := stateLag
+	if last.state.Phase == api.JobPending {
+		maxAge = maxPendingAge
+	}
+	return last.state, ok && time.Since(last.askedAt) <= maxAge
 }
 
 // recordedState returns a job's state as shown by its records and, if it has not ended, by what this node
--- a/internal/controller/leaderphase.go
+++ b/internal/controller/leaderphase.go
@@ -52,11 +52,12 @@
 // heartbeatDelay is how long a heartbeat may take to arrive after it was due.
 const heartbeatDelay = time.Second
 
-// mayHaveBegun reports whether an attempt that no heartbeat shows as running may have run for longer than
-// stateLag. Its machine sends a heartbeat as soon as the task begins, and at the intervals of the settings.
+// mayHaveBegun reports whether an attempt that no heartbeat shows as running may have run for so long that its job
+// must not be called pending, by this node or one that repeats its answer. Its machine sends a heartbeat as soon
+// as the task begins, and at the intervals of the settings.
 func (lt *leaderTerm) mayHaveBegun(a *cluster.Attempt, now time.Time) bool {
 	if a.LastSeenHeartbeat == 0 {
-		return now.Sub(a.SentAt) > stateLag
+		return now.Sub(a.SentAt) > stateLag-maxPendingAge
 	}
 	interval := lt.c.Settings.Site.Workers.HeartbeatInterval() * 5 / 4
 	return now.Sub(a.Machine.LastHeartbeat) > interval+heartbeatDelay
