Polls: a leader that a node can't reach is asked through the store

Cause: while connections between the controllers are refused, or zones are partitioned, a node that doesn't lead gave 503 for jobs that haven't ended, for up to 40 s, and then "pending", right or wrong, though the leader knows their phase and both reach the store.

Change: the node writes the jobs that its users ask about into query/<node>, once a second at most; the leader watches the prefix while another node is unreachable, and writes response/<node> under its term. The answer holds unless the job has ended, which the poll's own read shows. Late copies are told by the query's incarnation and number. Without a response the pauses double up to 16 s. In calm nothing is written or watched.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -134,6 +134,8 @@
 	draining bool
 	// lookups reads jobs from the store for users' requests.
 	lookups jobLookups
+	// storeQueries asks a leader that this node cannot reach about jobs.
+	storeQueries storeQueries
 }
 
 // message is an event that the owner goroutine applies to its state.
@@ -182,6 +184,11 @@
 		completionChecks: make(chan struct{}, min(maxCompletionChecks, maxConcurrentDials(site.Limits.FDLimit))),
 	}
 	c.lookups = jobLookups{controller: c, byJob: map[string]*sharedLookup{}}
+	c.storeQueries = storeQueries{
+		controller: c,
+		lastID:     records.QueryID{Incarnation: c.uplink.incarnation},
+		waiting:    map[string][]chan<- error{},
+	}
 	return c
 }
 
--- a/internal/controller/jobphase.go
+++ b/internal/controller/jobphase.go
@@ -26,6 +26,7 @@
 //   - A machine that runs a task according to its answer to a probe. A heartbeat to a node that does not
 //     lead only names the machine to probe: the heartbeat may be a late copy.
 //   - Another node that reaches the leader or a machine.
+//   - The leader, asked through the key-value store while this node cannot reach it.
 //
 // Otherwise the user is to repeat the request. After maxPhaseWait the job is reported as pending, since a
 // user who gets no answer for longer takes the job for lost.
@@ -127,7 +128,11 @@
 	if state, err := c.phaseFromMachines(ctx, record.ID, reply.addrs); err == nil {
 		return state, nil
 	}
-	return c.phaseFromNodes(ctx, record.ID, reply.otherNodes)
+	state, err := c.phaseFromNodes(ctx, record.ID, reply.otherNodes)
+	if err != nil && reply.mayAskThroughStore {
+		return c.phaseThroughStore(ctx, record.ID)
+	}
+	return state, err
 }
 
 // wasAcceptedLately reports whether a job was accepted within stateLag, by the clock of any node.
--- a/internal/controller/jobphase_test.go
+++ b/internal/controller/jobphase_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/membership"
+	"example.org/ivytrestle/internal/records"
 )
 
 // phaseOutage is a situation in which users ask about a job all of whose tasks run. Node n0 leads and the only
@@ -38,6 +40,10 @@
 // has sent it a heartbeat.
 const rerouteTime = time.Second*5/4 + agentResponseTimeout + agentRetryDelay
 
+// storeQueryTime is how long nodes take to notice that they do not reach each other, and to exchange a query and its
+// response through the store.
+const storeQueryTime = 3*membership.PingInterval + storeRoundInterval + storeRoundTimeout
+
 // crashAll returns a fault in which all nodes crash, and are back after the given time.
 func crashAll(d time.Duration) func(tn *userCluster) {
 	return func(tn *userCluster) {
@@ -92,7 +98,7 @@
 	},
 	{
 		name:    "connections between the nodes are cut, at another node",
-		disturb: partition, heal: endPartition, healAfter: 25 * time.Second, at: 1, unanswered: 27 * time.Second,
+		disturb: partition, heal: endPartition, healAfter: 25 * time.Second, at: 1, unanswered: storeQueryTime,
 	},
 	{
 		name:    "connections between the nodes are cut, at the leader",
@@ -256,6 +262,7 @@
 				tn.submitUntilAccepted(1, job)
 				time.Sleep(4 * time.Second)
 				partition(tn)
+				tn.store.Delay(writesPrefix(records.ResponsePrefix)) // as from a leader of the version in production
 				lastAnswer, answers := time.Now(), 0
 				for range 180 / 5 {
 					time.Sleep(5 * time.Second)
--- a/internal/controller/jobquery.go
+++ b/internal/controller/jobquery.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return JobAnswer{}, err
 	}
-	reply.otherNodes = nil
+	reply.otherNodes, reply.mayAskThroughStore = nil, false // the sender does that itself
 	switch {
 	case reply.answered:
 		return JobAnswer{State: reply.state, Certainty: Confirmed}, nil
--- a/internal/controller/leaderterm.go
+++ b/internal/controller/leaderterm.go
@@ -72,9 +72,11 @@
 	// unreachable.
 	quorumLostAt time.Time
 	downlink     relayDownlink
-	recordWriter *recordwriter.Writer
-	autoscaler   *autoscaler.Autoscaler
-	counts       counters
+	// queryResponder responds to nodes that cannot reach this one.
+	queryResponder queryResponder
+	recordWriter   *recordwriter.Writer
+	autoscaler     *autoscaler.Autoscaler
+	counts         counters
 	// dispatchUntil is the time until which the leader looks for machines with free capacity to
 	// send start commands to directly.
 	dispatchUntil time.Time
@@ -261,6 +263,7 @@
 		return
 	}
 	lt.readIndex.startRound()
+	lt.queryResponder.tick(lt, now)
 	lt.writeRecords(now)
 	lt.checkLeaseQuorum(now)
 	if lt.hasEnded() {
--- a/internal/controller/polls.go
+++ b/internal/controller/polls.go
@@ -122,6 +122,8 @@
 	// leaderReachable is set if the leader has answered the last ping, and leaderSettled if it has also had
 	// time to hear of the tasks on its machines.
 	leaderReachable, leaderSettled bool
+	// mayAskThroughStore is set if the store answers this node, and the leader does not.
+	mayAskThroughStore bool
 	// otherNodes are other reachable nodes to query; they can reach the store.
 	otherNodes []string
 	// kvUnreachable is set while this node cannot reach the store.
@@ -167,6 +169,7 @@
 		reply.leaderSettled = reply.leaderReachable && member.Term > 0 &&
 			now.Sub(member.TermSeenAt) >= c.Settings.Site.Workers.Lease()
 	}
+	reply.mayAskThroughStore = reply.leader != "" && !reply.leaderReachable && !reply.kvUnreachable
 	for name, member := range c.membership.Members {
 		if name != reply.leader && member.IsReachable(now) && member.KVReachableFor > 0 {
 			reply.otherNodes = append(reply.otherNodes, name)
--- a/internal/controller/zonepartition_test.go
+++ b/internal/controller/zonepartition_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"example.org/ivytrestle/internal/api"
+	"example.org/ivytrestle/internal/records"
 )
 
 // startPair starts a leader n0 and a follower n1, each with its own gate to the key-value store, in
@@ -155,9 +156,9 @@
 	})
 }
 
-// While a follower cannot reach the leader, it does not call a running job pending: the key-value store does
-// not record which tasks run. It answers polls of jobs that wait for another one, or have ended. While the
-// store rejects the follower, the follower forwards polls to the leader.
+// While a follower cannot reach the leader, and gets no response to queries through the key-value store, it does
+// not call a running job pending: the store does not record which tasks run. It answers polls of jobs that wait for
+// another one, or have ended. While the store rejects the follower, the follower forwards polls to the leader.
 func TestFollowerAnswersPollsWithoutLeaderOrStore(t *testing.T) {
 	simulate(t, func(w *simulatedCluster) {
 		l, n0, n1, _, gate1 := w.startPair()
@@ -171,6 +172,7 @@
 		w.checkEqual("error of the cancellation", err, nil)
 		k.heartbeatFor(n0, 3)
 		l.partitioned.Store(true)
+		w.store.Delay(writesPrefix(records.ResponsePrefix))
 		for range 5 {
 			_, err := n1.Job(context.Background(), "job-1")
 			w.checkEqual("phase is unknown without the leader", errors.Is(err, errPhaseUnknown), true)
--- a/internal/records/golden_test.go
+++ b/internal/records/golden_test.go
@@ -223,6 +223,7 @@
 func TestKeysOfEarlierVersions(t *testing.T) {
 	for _, c := range []struct{ got, want string }{
 		{records.ActivePrefix, "a/"}, {records.TerminalPrefix, "f/"}, {records.CompletionPrefix, "p/"}, {records.MachinePrefix, "m/"},
+		{records.QueryPrefix, "query/"}, {records.ResponsePrefix, "response/"},
 		{records.LeaseRenewalPrefix, "keep/"}, {records.RelayPrefix, "relay/"}, {records.MachineTypesKey, "types"}, {records.CancelKey, "a/!cancel"},
 		{records.DependencyPrefix, "awaits/"},
 		{(&records.DependencyList{Digest: "ab", RecordCount: 3}).Keys("job-1")[2], "awaits/job-1/ab/00002"}, {records.DependencyListPlaceholder, "job-"},
