Polls: at most 48 requests wait for a round through the store

Cause: a request that waits for a round holds one of the 160 slots of polls, for up to 1.5 s. With some hundred polls a second at a node that can't reach the leader they would take all, and polls of ended jobs would get 429.

Change: beyond 48 they get 503 at once. TestRequestsThroughStoreAreBounded.

--- a/internal/controller/storequeries.go
+++ b/internal/controller/storequeries.go
@@ -21,6 +21,8 @@
 	lastID records.QueryID
 	// waiting holds, by job, the requests for the next round, and asked those of the present one.
 	waiting, asked map[string][]chan<- error
+	// waitingCount is the number of requests in waiting.
+	waitingCount int
 	// busy is set from the start of a round until the next one may start.
 	busy bool
 	// unanswered is the number of rounds since the last one that the leader responded to.
@@ -37,8 +39,9 @@
 	storeRoundTimeout = 1200 * time.Millisecond
 	// maxStoreRoundPause is the longest pause after rounds without a response. The pauses double.
 	maxStoreRoundPause = 16 * time.Second
-	// maxStoreQueries is the maximum number of jobs that wait for the next round.
-	maxStoreQueries = 1024
+	// maxStoreQueries is the maximum number of requests that wait for the next round. With those of the present
+	// one, they leave slots of users' polls to jobs that have ended.
+	maxStoreQueries = 48
 )
 
 // errNoStoreResponse means that the leader has not responded to a query in the store.
@@ -68,11 +71,12 @@
 	if leader := c.currentLeader(now); leader != q.leader {
 		q.leader, q.unanswered, q.pausedUntil = leader, 0, time.Time{}
 	}
-	if now.Before(q.pausedUntil) || len(q.waiting) >= maxStoreQueries {
+	if now.Before(q.pausedUntil) || q.waitingCount >= maxStoreQueries {
 		m.reply <- errNoStoreResponse
 		return
 	}
 	q.waiting[m.id] = append(q.waiting[m.id], m.reply)
+	q.waitingCount++
 	q.startRound()
 }
 
@@ -91,6 +95,7 @@
 		}
 		query.Jobs = append(query.Jobs, id)
 		q.asked[id] = requests
+		q.waitingCount -= len(requests)
 		delete(q.waiting, id)
 	}
 	go q.ask(query)
@@ -157,6 +162,7 @@
 		q.unanswered++
 		q.pausedUntil = time.Now().Add(pause)
 		q.replyAll(q.waiting, m.err)
+		q.waitingCount = 0
 		c.Log.Debug("leader has not responded through the key-value store", "rounds", q.unanswered, "err", m.err)
 	}
 	q.replyAll(q.asked, m.err)
--- a/internal/controller/storequeries_test.go
+++ b/internal/controller/storequeries_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,6 +91,36 @@
 	})
 }
 
+// Requests beyond those of a round and the next one fail at once, so that they hold no slot of users' polls.
+func TestRequestsThroughStoreAreBounded(t *testing.T) {
+	simulate(t, func(w *simulatedCluster) {
+		tn := newUserCluster(w, 1)
+		defer tn.close()
+		tn.submitUntilAccepted(1, spec("job-1", 1))
+		time.Sleep(2 * stateLag)
+		partition(tn)
+		tn.store.Delay(writesPrefix(records.ResponsePrefix))
+		time.Sleep(storeQueryTime)
+		var slow atomic.Int32
+		for range 4 * maxStoreQueries {
+			tn.runInBackground(func() {
+				asked := time.Now()
+				_, err := tn.checker.queryJob(tn.nodeAt(1), "job-1")
+				tn.checkEqual("unknown", errors.Is(err, errPhaseUnknown), true)
+				if time.Since(asked) > storeRoundInterval/2 {
+					slow.Add(1)
+				}
+			})
+		}
+		time.Sleep(2 * storeRoundTimeout)
+		if n := slow.Load(); n == 0 || n > 1+maxStoreQueries {
+			t.Errorf("got %d polls that waited for a round, want 1 to %d", n, 1+maxStoreQueries)
+		}
+		tn.store.Delay(nil)
+		endPartition(tn)
+	})
+}
+
 // Without a response, queries become rare. In calm nodes write none, and watch for none.
 func TestQueriesThroughStoreAreBounded(t *testing.T) {
 	simulate(t, func(w *simulatedCluster) {
