Test: the peer client of a running node is replaced on its owner goroutine

Cause: TestAnswersOfOtherNodesAreCheckedForTheirSource set it from the test's goroutine; go test -race reported that.

Change: set by inspect.

--- a/internal/controller/jobphase_test.go
+++ b/internal/controller/jobphase_test.go
@@ -405,7 +405,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			simulate(t, func(w *simulatedCluster) {
 				n := w.start("n0")
-				n.Peers = peerAnswer{answer: c.answer, err: c.err}
+				n.inspect(func(n *Controller) { n.Peers = peerAnswer{answer: c.answer, err: c.err} })
 				reply := pollReply{leaderSettled: c.settled}
 				state, err := n.queryNode(context.Background(), c.source, "n1", "job-1", reply)
 				if !errors.Is(err, c.want) || c.want == nil && state.Phase != c.answer.State.Phase {
